--- /dev/null
+++ b/bench/src/main/java/org/snipewick/bench/Main.java
@@ -0,0 +1,83 @@
+package org.snipewick.bench;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import com.beust.jcommander.Parameters;
+import org.snipewick.bench.cost.CostBench;
+import org.snipewick.bench.policy.PolicyBench;
+
+/** Starts the program. */
+public final class Main {
+  private static final int EXIT_USAGE = 2;
+
+  private Main() {}
+
+  /**
+   * Runs the program.
+   *
+   * @param arguments the command line
+   */
+  public static void main(String[] arguments) {
+    PolicyCommand policy = new PolicyCommand();
+    HelpOption help = new HelpOption();
+    JCommander commands = JCommander.newBuilder().programName("run-bench").addObject(help).build();
+    commands.addCommand("policy", policy);
+    CostCommand cost = new CostCommand();
+    commands.addCommand("cost", cost);
+    try {
+      commands.parse(arguments);
+    } catch (ParameterException failure) {
+      System.err.println(failure.getMessage());
+      System.exit(EXIT_USAGE);
+      return;
+    }
+    if (help.help || policy.help || cost.help || commands.getParsedCommand() == null) {
+      commands.usage();
+      return;
+    }
+    if (commands.getParsedCommand().equals("cost")) {
+      new CostBench(cost.seconds, cost.json, System.out).run(cost.series);
+      return;
+    }
+    new PolicyBench(policy.seed).run(policy.caseName, policy.policyName, policy.json, System.out);
+  }
+
+  private static final class HelpOption {
+    @Parameter(names = "--help", help = true, description = "Print this text")
+    private boolean help;
+  }
+
+  @Parameters(commandDescription = "Measure scheduling policies in virtual time")
+  private static final class PolicyCommand {
+    @Parameter(names = "--seed", description = "Seed of arrivals and random choices")
+    private long seed = 1;
+
+    @Parameter(names = "--json", description = "Print a JSON object a row")
+    private boolean json;
+
+    @Parameter(names = "--case", description = "Run only this case")
+    private String caseName = "";
+
+    @Parameter(names = "--policy", description = "Run only this policy and the ideal")
+    private String policyName = "";
+
+    @Parameter(names = "--help", help = true, description = "Print this text")
+    private boolean help;
+  }
+
+  @Parameters(commandDescription = "Measure what control and requests cost, with real processes")
+  private static final class CostCommand {
+    @Parameter(names = "--seconds", description = "Length of each measurement")
+    private int seconds = 10;
+
+    @Parameter(names = "--series", description = "Run only this series")
+    private String series = "";
+
+    @Parameter(names = "--json", description = "Print a JSON object a row")
+    private boolean json;
+
+    @Parameter(names = "--help", help = true, description = "Print this text")
+    private boolean help;
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/snipewick/bench/cluster/ChildProcess.java
@@ -0,0 +1,203 @@
+package org.snipewick.bench.cluster;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+
+/** A process that a test or measurement started; its output goes to files. */
+public final class ChildProcess implements AutoCloseable {
+  private static final Path BINARIES = binaries();
+  private static final long BYTES_PER_KILOBYTE = 1024;
+  private static final long STOP_TIMEOUT_SECONDS = 10;
+  private static final String JAVA_OPTIONS =
+      "-Xmx160m -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xshare:auto";
+
+  private final String name;
+  private final Process process;
+  private final Path output;
+
+  private ChildProcess(String name, Process process, Path output) {
+    this.name = name;
+    this.process = process;
+    this.output = output;
+  }
+
+  private static Path binaries() {
+    Path here = Path.of("target").toAbsolutePath();
+    return Files.isExecutable(here.resolve("snipewick"))
+        ? here
+        : Path.of("..", "target").toAbsolutePath().normalize();
+  }
+
+  /** Creates a directory for the files of a cluster. */
+  static Path newDirectory() {
+    try {
+      return Files.createTempDirectory("snipewick");
+    } catch (IOException failure) {
+      throw new UncheckedIOException(failure);
+    }
+  }
+
+  /** Starts one of this repository's binaries with output to files in a directory. */
+  static ChildProcess start(Path directory, String name, String binary, List<String> arguments) {
+    List<String> command = new ArrayList<>(List.of(BINARIES.resolve(binary).toString()));
+    command.addAll(arguments);
+    try {
+      Path output = directory.resolve(name + "-" + System.nanoTime() + ".out");
+      ProcessBuilder builder = new ProcessBuilder(command);
+      builder.environment().put("SNIPEWICK_JAVA_OPTIONS", JAVA_OPTIONS);
+      builder.redirectOutput(output.toFile());
+      builder.redirectError(directory.resolve(output.getFileName() + ".log").toFile());
+      return new ChildProcess(name, builder.start(), output);
+    } catch (IOException failure) {
+      throw new UncheckedIOException(failure);
+    }
+  }
+
+  /** Waits for the line that says where the process serves, and returns that address. */
+  String awaitReady() {
+    Await.until(Duration.ofSeconds(30), name + " is ready", () -> !readyLine().isEmpty());
+    return readyLine().substring(readyLine().lastIndexOf(' ') + 1);
+  }
+
+  private String readyLine() {
+    requireAlive();
+    try {
+      return Files.readString(output)
+          .lines()
+          .filter(line -> line.matches("ready \\w+ \\S+:\\d+"))
+          .findFirst()
+          .orElse("");
+    } catch (IOException failure) {
+      throw new UncheckedIOException(failure);
+    }
+  }
+
+  /**
+   * Returns what the process wrote to standard error.
+   *
+   * @return text
+   */
+  public String log() {
+    try {
+      return Files.readString(output.resolveSibling(output.getFileName() + ".log"));
+    } catch (IOException failure) {
+      throw new UncheckedIOException(failure);
+    }
+  }
+
+  /** Ends the process without warning. */
+  public void kill() {
+    process.destroyForcibly();
+    awaitExit();
+  }
+
+  /** Stops the process from running until it is resumed. */
+  public void pause() {
+    signal("-STOP");
+  }
+
+  /** Lets a paused process run on. */
+  public void resume() {
+    signal("-CONT");
+  }
+
+  /** Asks the process to end in a planned way, without waiting. */
+  public void terminate() {
+    process.destroy();
+  }
+
+  /**
+   * Waits until the process has ended.
+   *
+   * @return exit code
+   */
+  public int awaitExit() {
+    try {
+      if (!process.waitFor(STOP_TIMEOUT_SECONDS * 3, TimeUnit.SECONDS)) {
+        throw new AssertionError(name + " did not end");
+      }
+      return process.exitValue();
+    } catch (InterruptedException failure) {
+      Thread.currentThread().interrupt();
+      throw new AssertionError(failure);
+    }
+  }
+
+  /**
+   * Returns the processor time that the process has used.
+   *
+   * @return time of all its threads
+   */
+  public Duration processorTime() {
+    return process.info().totalCpuDuration().orElse(Duration.ZERO);
+  }
+
+  /**
+   * Returns the number by which the system knows the process.
+   *
+   * @return process identifier
+   */
+  public long id() {
+    return process.pid();
+  }
+
+  /**
+   * Returns the memory that the system has given to the process.
+   *
+   * @return bytes
+   */
+  public long residentBytes() {
+    try (Stream<String> lines =
+        Files.lines(Path.of("/proc", Long.toString(process.pid()), "status"))) {
+      return lines
+          .filter(line -> line.startsWith("VmRSS:"))
+          .mapToLong(line -> Long.parseLong(line.replaceAll("\\D", "")) * BYTES_PER_KILOBYTE)
+          .sum();
+    } catch (IOException failure) {
+      throw new UncheckedIOException(failure);
+    }
+  }
+
+  /** Makes the process collect all garbage. */
+  public void collectGarbage() {
+    run("jcmd", Long.toString(process.pid()), "GC.run");
+  }
+
+  /** Fails with the log of the process if it has ended. */
+  void requireAlive() {
+    if (!process.isAlive()) {
+      throw new AssertionError(name + " ended: " + log());
+    }
+  }
+
+  private void signal(String signal) {
+    run("kill", signal, Long.toString(process.pid()));
+  }
+
+  private static void run(String... command) {
+    try {
+      ProcessBuilder builder = new ProcessBuilder(command);
+      builder.redirectOutput(ProcessBuilder.Redirect.DISCARD);
+      int exit = builder.start().waitFor();
+      if (exit != 0) {
+        throw new AssertionError(String.join(" ", command) + " gave " + exit);
+      }
+    } catch (IOException failure) {
+      throw new UncheckedIOException(failure);
+    } catch (InterruptedException failure) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  @Override
+  public void close() {
+    process.destroyForcibly();
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/snipewick/bench/cluster/FreePorts.java
@@ -0,0 +1,32 @@
+package org.snipewick.bench.cluster;
+
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** Ports below those that the system gives to outgoing connections, so that they stay free. */
+final class FreePorts {
+  private static final int FIRST_PORT = 12_000;
+  private static final int PORTS = 18_000;
+  private static final int PORTS_PER_PROCESS = 331;
+  private static final AtomicInteger NEXT =
+      new AtomicInteger((int) (ProcessHandle.current().pid() * PORTS_PER_PROCESS));
+
+  private FreePorts() {}
+
+  /**
+   * Returns a port on which nobody listens, each time another one.
+   *
+   * @return TCP port
+   */
+  static int next() {
+    while (true) {
+      int port = FIRST_PORT + Math.floorMod(NEXT.getAndIncrement(), PORTS);
+      try (ServerSocket socket = new ServerSocket(port)) {
+        return socket.getLocalPort();
+      } catch (IOException taken) {
+        continue;
+      }
+    }
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/snipewick/bench/cluster/Http.java
@@ -0,0 +1,112 @@
+package org.snipewick.bench.cluster;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpRequest.BodyPublishers;
+import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+
+/** HTTP calls of tests and measurements. */
+public final class Http {
+  private static final HttpClient CLIENT =
+      HttpClient.newBuilder()
+          .version(HttpClient.Version.HTTP_1_1)
+          .connectTimeout(Duration.ofSeconds(2))
+          .build();
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+  private static final Duration TIMEOUT = Duration.ofSeconds(60);
+
+  private Http() {}
+
+  /**
+   * Sends a call.
+   *
+   * @param method HTTP method
+   * @param url where to
+   * @param body body, empty for none
+   * @param headers headers by name
+   * @return answer; a broken connection fails it with an {@link IOException}
+   */
+  public static CompletableFuture<HttpResponse<String>> send(
+      String method, String url, String body, Map<String, String> headers) {
+    HttpRequest.Builder request =
+        HttpRequest.newBuilder(URI.create(url))
+            .timeout(TIMEOUT)
+            .method(
+                method, body.isEmpty() ? BodyPublishers.noBody() : BodyPublishers.ofString(body));
+    headers.forEach(request::header);
+    return CLIENT.sendAsync(request.build(), BodyHandlers.ofString());
+  }
+
+  /**
+   * Sends a call and waits for its answer.
+   *
+   * @param method HTTP method
+   * @param url where to
+   * @param body body, empty for none
+   * @param headers headers by name
+   * @return answer
+   */
+  public static HttpResponse<String> await(
+      String method, String url, String body, Map<String, String> headers) {
+    return send(method, url, body, headers).join();
+  }
+
+  /**
+   * Parses JSON.
+   *
+   * @param text JSON
+   * @return tree
+   */
+  public static JsonNode json(String text) {
+    try {
+      return MAPPER.readTree(text);
+    } catch (JsonProcessingException failure) {
+      throw new UncheckedIOException("not JSON: " + text, failure);
+    }
+  }
+
+  static int port(String address) {
+    return Integer.parseInt(address.substring(address.indexOf(':') + 1));
+  }
+
+  static JsonNode truth(String address) {
+    return json(await("GET", "http://" + address + "/control/truth", "", Map.of()).body());
+  }
+
+  static boolean isUp(String url) {
+    try {
+      HttpRequest request =
+          HttpRequest.newBuilder(URI.create(url)).timeout(Duration.ofSeconds(1)).build();
+      return CLIENT.send(request, BodyHandlers.discarding()).statusCode() == 200;
+    } catch (IOException failure) {
+      return false;
+    } catch (InterruptedException failure) {
+      Thread.currentThread().interrupt();
+      return false;
+    }
+  }
+
+  /** Checks that an answer is one of success. */
+  static void requireSuccess(HttpResponse<String> answer, String what) {
+    if (answer.statusCode() >= 300) {
+      throw new AssertionError(what + " refused: " + answer.statusCode() + " " + answer.body());
+    }
+  }
+
+  /** Returns the body of a model request. */
+  static String chatBody(String question, int tokens, boolean stream) {
+    return ("{\"model\":\"planner\",\"stream\":%s,\"max_tokens\":%d,"
+            + "\"messages\":[{\"role\":\"user\",\"content\":\"%s\"}]}")
+        .formatted(stream, tokens, question);
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/snipewick/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Measurements of the product: policies in virtual time. */
+package org.snipewick.bench;
--- /dev/null
+++ b/snipewick/src/main/java/org/snipewick/admin/package-info.java
@@ -0,0 +1,2 @@
+/** Administration over HTTP, apart from the callers' address: routes, operators, answers. */
+package org.snipewick.admin;
--- /dev/null
+++ b/snipewick/src/main/java/org/snipewick/catalogue/Edit.java
@@ -0,0 +1,59 @@
+package org.snipewick.catalogue;
+
+import static java.util.Objects.requireNonNull;
+
+import com.fasterxml.jackson.annotation.JsonSubTypes;
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import java.util.Map;
+
+/** Edit of one entry of the catalogue. */
+@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "edit")
+@JsonSubTypes({
+  @JsonSubTypes.Type(value = Edit.Put.class, name = "put"),
+  @JsonSubTypes.Type(value = Edit.Remove.class, name = "remove")
+})
+public sealed interface Edit {
+
+  /**
+   * Applies the edit.
+   *
+   * @param entries entries by key, changed in place
+   */
+  void applyTo(Map<String, Entry> entries);
+
+  /**
+   * Adds or replaces an entry.
+   *
+   * @param entry new content
+   */
+  record Put(Entry entry) implements Edit {
+
+    /** Checks the entry. */
+    public Put {
+      requireNonNull(entry, "entry");
+    }
+
+    @Override
+    public void applyTo(Map<String, Entry> entries) {
+      entries.put(entry.key(), entry);
+    }
+  }
+
+  /**
+   * Removes an entry.
+   *
+   * @param key key of the entry; removing what is not there changes nothing
+   */
+  record Remove(String key) implements Edit {
+
+    /** Checks the key. */
+    public Remove {
+      requireNonNull(key, "key");
+    }
+
+    @Override
+    public void applyTo(Map<String, Entry> entries) {
+      entries.remove(key);
+    }
+  }
+}
--- /dev/null
+++ b/snipewick/src/main/java/org/snipewick/catalogue/TimerThread.java
@@ -0,0 +1,36 @@
+package org.snipewick.catalogue;
+
+import static java.util.Objects.requireNonNull;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import org.snipewick.time.TimerService;
+
+/** Runs actions on the timer's thread, to which the state of this package is confined. */
+final class TimerThread {
+  private final TimerService timer;
+
+  TimerThread(TimerService timer) {
+    this.timer = requireNonNull(timer, "timer");
+  }
+
+  /** Runs an action; completes with what the future that it returns is completed with. */
+  <T> CompletableFuture<T> call(Supplier<CompletableFuture<T>> action) {
+    CompletableFuture<T> result = new CompletableFuture<>();
+    timer.after(
+        Duration.ZERO,
+        () ->
+            action
+                .get()
+                .whenComplete(
+                    (value, failure) -> {
+                      if (failure != null) {
+                        result.completeExceptionally(failure);
+                      } else {
+                        result.complete(value);
+                      }
+                    }));
+    return result;
+  }
+}
--- /dev/null
+++ b/snipewick/src/main/java/org/snipewick/cli/HostAndPort.java
@@ -0,0 +1,31 @@
+package org.snipewick.cli;
+
+import com.beust.jcommander.IParameterValidator;
+import com.beust.jcommander.ParameterException;
+import java.net.URI;
+import java.net.URISyntaxException;
+
+/** Accepts addresses of the form host:port. */
+public final class HostAndPort implements IParameterValidator {
+  private static final int MAX_PORT = 65_535;
+
+  /** Creates a validator; called by JCommander. */
+  public HostAndPort() {}
+
+  @Override
+  public void validate(String name, String value) {
+    if (!isHostAndPort(value)) {
+      throw new ParameterException(name + " must be host:port but is " + value);
+    }
+  }
+
+  private static boolean isHostAndPort(String value) {
+    try {
+      URI uri = new URI("http://" + value);
+      boolean portInRange = uri.getPort() >= 1 && uri.getPort() <= MAX_PORT;
+      return uri.getHost() != null && portInRange && value.equals(uri.getRawAuthority());
+    } catch (URISyntaxException malformed) {
+      return false;
+    }
+  }
+}
--- /dev/null
+++ b/snipewick/src/main/java/org/snipewick/cli/TimelineCommand.java
@@ -0,0 +1,85 @@
+package org.snipewick.cli;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import com.beust.jcommander.ParametersDelegate;
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import org.snipewick.cli.OperatorClient.Reply;
+
+/** Prints the events of a request, key or span of time over all processes. */
+@Parameters(commandDescription = "print the time line over several instances")
+final class TimelineCommand implements Command {
+  @ParametersDelegate private final OperatorOptions options = new OperatorOptions();
+
+  @Parameter(
+      names = "--also",
+      description = "operators' addresses of further instances",
+      validateWith = HostAndPort.class)
+  private List<String> also = new ArrayList<>();
+
+  @Parameter(names = "--subject", description = "request identifier, idempotency key or pool")
+  private String subject = "";
+
+  @Parameter(names = "--html", description = "write a page to this file")
+  private Path html;
+
+  @Override
+  public ExitCode run(Console console) {
+    List<OperatorClient> clients = new ArrayList<>(List.of(options.client()));
+    also.forEach(address -> clients.add(options.clientOf(address)));
+    Set<JsonNode> found = new LinkedHashSet<>();
+    ExitCode result = collect(clients, subject, found, console);
+    requestsIn(found).forEach(request -> collect(clients, request, found, console));
+    MergedTimeline merged = MergedTimeline.ofAll(found);
+    if (options.json()) {
+      console.printJson(merged.events());
+    } else {
+      console.out().print(merged.toText());
+    }
+    return html == null ? result : writePage(merged, console, result);
+  }
+
+  private ExitCode collect(
+      List<OperatorClient> clients, String text, Set<JsonNode> found, Console console) {
+    ExitCode result = ExitCode.SUCCESS;
+    String query = URLEncoder.encode(text, StandardCharsets.UTF_8);
+    for (OperatorClient client : clients) {
+      Reply reply = client.get("/admin/timeline?subject=" + query);
+      if (reply instanceof Reply.Answered answered && answered.isSuccess()) {
+        answered.body().path("events").forEach(found::add);
+      } else {
+        result = reply.report(console, false);
+      }
+    }
+    return result;
+  }
+
+  private Set<String> requestsIn(Set<JsonNode> events) {
+    Set<String> requests = new LinkedHashSet<>();
+    if (!subject.isEmpty()) {
+      events.forEach(event -> requests.add(event.path("subject").asText()));
+    }
+    requests.remove(subject);
+    requests.remove("");
+    return requests;
+  }
+
+  private ExitCode writePage(MergedTimeline merged, Console console, ExitCode result) {
+    try {
+      Files.writeString(html, merged.toHtml(subject));
+      return result;
+    } catch (IOException failure) {
+      console.err().println(html + ": " + failure);
+      return ExitCode.FAILED;
+    }
+  }
+}
--- /dev/null
+++ b/snipewick/src/main/java/org/snipewick/cli/package-info.java
@@ -0,0 +1,2 @@
+/** Command line of the one binary. */
+package org.snipewick.cli;
--- /dev/null
+++ b/snipewick/src/main/java/org/snipewick/endpoint/EndpointClients.java
@@ -0,0 +1,18 @@
+package org.snipewick.endpoint;
+
+import static java.util.Objects.requireNonNull;
+
+/**
+ * Clients of both kinds of endpoints.
+ *
+ * @param engines client of model engines
+ * @param services client of plain services
+ */
+public record EndpointClients(EngineClient engines, ServiceClient services) {
+
+  /** Checks the parts. */
+  public EndpointClients {
+    requireNonNull(engines, "engines");
+    requireNonNull(services, "services");
+  }
+}
--- /dev/null
+++ b/snipewick/src/main/java/org/snipewick/endpoint/http/HttpEngineClient.java
@@ -0,0 +1,223 @@
+package org.snipewick.endpoint.http;
+
+import static java.util.Objects.requireNonNull;
+
+import io.activej.bytebuf.ByteBuf;
+import io.activej.csp.ChannelSupplier;
+import io.activej.eventloop.Eventloop;
+import io.activej.http.HttpHeaders;
+import io.activej.http.HttpMethod;
+import io.activej.http.HttpRequest;
+import io.activej.http.HttpResponse;
+import io.activej.promise.Promise;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.snipewick.endpoint.EndpointAnswer;
+import org.snipewick.endpoint.EngineCall;
+import org.snipewick.endpoint.EngineClient;
+import org.snipewick.endpoint.EventReceiver;
+import org.snipewick.endpoint.StreamEvent;
+import org.snipewick.failure.Failure;
+import org.snipewick.failure.FailureException;
+import org.snipewick.failure.FailureType;
+import org.snipewick.failure.Outcome;
+import org.snipewick.identity.RequestId;
+
+/** Client of model engines over HTTP; its methods may be called on any thread. */
+public final class HttpEngineClient implements EngineClient {
+  private static final String COMPLETIONS_PATH = "/v1/chat/completions";
+  private static final String REQUESTS_PATH = "/v1/requests/";
+  private static final String EVENT_STREAM = "text/event-stream";
+  private static final int MAX_ANSWER_BYTES = 8 * 1024 * 1024;
+  private static final int MAX_EVENT_BYTES = 1024 * 1024;
+  private static final int NOT_FOUND = 404;
+
+  private final HttpExchanges exchanges;
+  private final Map<RequestId, HttpExchange> open = new HashMap<>();
+
+  private HttpEngineClient(HttpExchanges exchanges) {
+    this.exchanges = exchanges;
+  }
+
+  /**
+   * Returns a client.
+   *
+   * @param eventloop event loop that carries its connections
+   * @return client
+   */
+  public static HttpEngineClient of(Eventloop eventloop) {
+    return new HttpEngineClient(HttpExchanges.of(eventloop));
+  }
+
+  @Override
+  public CompletableFuture<EndpointAnswer> call(EngineCall call) {
+    requireNonNull(call, "call");
+    return exchanges.start(() -> callNow(call));
+  }
+
+  @Override
+  public CompletableFuture<Optional<EndpointAnswer>> stream(
+      EngineCall call, EventReceiver receiver) {
+    requireNonNull(receiver, "receiver");
+    return exchanges.start(() -> streamNow(call, receiver));
+  }
+
+  @Override
+  public CompletableFuture<Void> resume(EngineCall call, int received, EventReceiver receiver) {
+    requireNonNull(receiver, "receiver");
+    return exchanges.start(() -> resumeNow(call, received, receiver));
+  }
+
+  @Override
+  public void cancel(EngineCall call) {
+    requireNonNull(call, "call");
+    exchanges.eventloop().execute(() -> cancelNow(call));
+  }
+
+  private Promise<EndpointAnswer> callNow(EngineCall call) {
+    HttpRequest request = completionRequest(call);
+    HttpExchange exchange = begin(call, request);
+    return exchanges
+        .send(request, exchange)
+        .then(response -> exchanges.readWhole(response, exchange, call.id(), MAX_ANSWER_BYTES))
+        .whenComplete(() -> end(call, exchange));
+  }
+
+  private Promise<Optional<EndpointAnswer>> streamNow(EngineCall call, EventReceiver receiver) {
+    HttpRequest request = completionRequest(call);
+    HttpExchange exchange = begin(call, request);
+    return exchanges
+        .send(request, exchange)
+        .then(response -> readStream(response, exchange, call, receiver))
+        .whenComplete(() -> end(call, exchange));
+  }
+
+  private Promise<Void> resumeNow(EngineCall call, int received, EventReceiver receiver) {
+    String path = REQUESTS_PATH + call.id() + "/stream?after=" + received;
+    HttpRequest request = HttpRequest.get(HttpExchanges.url(call.endpoint(), path));
+    HttpExchange exchange = begin(call, request);
+    return exchanges
+        .send(request, exchange)
+        .then(response -> readResumed(response, exchange, call, receiver))
+        .mapException(
+            FailureException.class,
+            thrown -> thrown.failure().withOutcome(Outcome.UNKNOWN).toException())
+        .whenComplete(() -> end(call, exchange));
+  }
+
+  private Promise<Optional<EndpointAnswer>> readStream(
+      HttpResponse response, HttpExchange exchange, EngineCall call, EventReceiver receiver) {
+    if (!isEventStream(response)) {
+      return exchanges.readWhole(response, exchange, call.id(), MAX_ANSWER_BYTES).map(Optional::of);
+    }
+    if (!HttpExchanges.belongsTo(call.id(), response)) {
+      exchange.takeBody(response).close();
+      return HttpExchanges.incomplete("stream carries the identifier of another dispatch");
+    }
+    return readEvents(exchange.takeBody(response), exchange, receiver).map(end -> Optional.empty());
+  }
+
+  private Promise<Void> readResumed(
+      HttpResponse response, HttpExchange exchange, EngineCall call, EventReceiver receiver) {
+    if (response.getCode() == NOT_FOUND) {
+      return Promise.ofException(
+          Failure.unknown(FailureType.NOT_FOUND, "engine does not know the request").toException());
+    }
+    if (!isEventStream(response) || !HttpExchanges.belongsTo(call.id(), response)) {
+      return HttpExchanges.incomplete("engine did not resume the stream");
+    }
+    return readEvents(exchange.takeBody(response), exchange, receiver);
+  }
+
+  private Promise<Void> readEvents(
+      ChannelSupplier<ByteBuf> body, HttpExchange exchange, EventReceiver receiver) {
+    EventParser parser = EventParser.of(MAX_EVENT_BYTES);
+    return readMore(body, exchange, parser, receiver);
+  }
+
+  private Promise<Void> readMore(
+      ChannelSupplier<ByteBuf> body,
+      HttpExchange exchange,
+      EventParser parser,
+      EventReceiver receiver) {
+    return body.get()
+        .then(
+            buffer -> {
+              if (buffer == null) {
+                return HttpExchanges.<Void>incomplete("stream ended without its terminator");
+              }
+              Iterator<StreamEvent> events = parser.feed(buffer.asArray()).iterator();
+              if (parser.isOverflowing()) {
+                body.close();
+                return HttpExchanges.<Void>incomplete("event exceeds the size limit");
+              }
+              return deliver(events, receiver)
+                  .then(done -> done ? finish(body) : readMore(body, exchange, parser, receiver));
+            },
+            thrown -> Promise.<Void>ofException(asFailure(exchange, thrown)));
+  }
+
+  private static Exception asFailure(HttpExchange exchange, Exception thrown) {
+    return thrown instanceof FailureException ? thrown : exchange.failureOf(thrown).toException();
+  }
+
+  private static Promise<Void> finish(ChannelSupplier<ByteBuf> body) {
+    body.close();
+    return Promise.complete();
+  }
+
+  /** Hands events on one after the other; brings whether the terminator was among them. */
+  private static Promise<Boolean> deliver(Iterator<StreamEvent> events, EventReceiver receiver) {
+    while (events.hasNext()) {
+      StreamEvent event = events.next();
+      CompletableFuture<Void> ready = receiver.onEvent(event);
+      if (event.isDone()) {
+        return Promise.of(true);
+      }
+      if (!ready.isDone()) {
+        return Promise.ofFuture(ready).then(() -> deliver(events, receiver));
+      }
+    }
+    return Promise.of(false);
+  }
+
+  private void cancelNow(EngineCall call) {
+    HttpExchange exchange = open.remove(call.id());
+    if (exchange != null) {
+      exchange.cancel();
+    }
+    String url = HttpExchanges.url(call.endpoint(), REQUESTS_PATH + call.id());
+    HttpRequest request = HttpRequest.of(HttpMethod.DELETE, url);
+    exchanges
+        .send(request, HttpExchange.attachedTo(request))
+        .whenResult(response -> response.takeBodyStream().close());
+  }
+
+  private HttpExchange begin(EngineCall call, HttpRequest request) {
+    HttpExchange exchange = HttpExchange.attachedTo(request);
+    open.put(call.id(), exchange);
+    return exchange;
+  }
+
+  private void end(EngineCall call, HttpExchange exchange) {
+    open.remove(call.id(), exchange);
+  }
+
+  private static HttpRequest completionRequest(EngineCall call) {
+    HttpRequest request =
+        HttpRequest.post(HttpExchanges.url(call.endpoint(), COMPLETIONS_PATH))
+            .withHeader(HttpHeaders.CONTENT_TYPE, "application/json")
+            .withHeader(HttpNames.REQUEST_ID, call.id().toString())
+            .withBody(call.body());
+    call.key().ifPresent(key -> request.addHeader(HttpNames.CLIENT_KEY, key));
+    return request;
+  }
+
+  private static boolean isEventStream(HttpResponse response) {
+    String type = response.getHeader(HttpHeaders.CONTENT_TYPE);
+    return response.getCode() == 200 && type != null && type.startsWith(EVENT_STREAM);
+  }
+}
--- /dev/null
+++ b/snipewick/src/main/java/org/snipewick/endpoint/http/HttpLoadReportClient.java
@@ -0,0 +1,80 @@
+package org.snipewick.endpoint.http;
+
+import static java.util.Objects.requireNonNull;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.activej.bytebuf.ByteBuf;
+import io.activej.eventloop.Eventloop;
+import io.activej.http.AsyncHttpClient;
+import io.activej.http.HttpRequest;
+import io.activej.http.HttpResponse;
+import io.activej.promise.Promise;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import org.snipewick.endpoint.LoadReport;
+import org.snipewick.endpoint.LoadReportClient;
+import org.snipewick.failure.Failure;
+import org.snipewick.failure.FailureType;
+import org.snipewick.pool.EndpointStatus;
+
+/** Reads load reports over HTTP on kept connections; may be called on any thread. */
+public final class HttpLoadReportClient implements LoadReportClient {
+  private static final ObjectMapper JSON = new ObjectMapper();
+  private static final String LOAD_PATH = "/load";
+  private static final int MAX_REPORT_BYTES = 64 * 1024;
+  private static final Duration KEEP_ALIVE = Duration.ofSeconds(10);
+  private static final Duration LONGEST_READ = Duration.ofSeconds(2);
+
+  private final Eventloop eventloop;
+  private final AsyncHttpClient client;
+
+  private HttpLoadReportClient(Eventloop eventloop, AsyncHttpClient client) {
+    this.eventloop = eventloop;
+    this.client = client;
+  }
+
+  /**
+   * Returns a client.
+   *
+   * @param eventloop event loop that carries its connections
+   * @return client
+   */
+  public static HttpLoadReportClient of(Eventloop eventloop) {
+    requireNonNull(eventloop, "eventloop");
+    AsyncHttpClient client =
+        AsyncHttpClient.create(eventloop)
+            .withKeepAliveTimeout(KEEP_ALIVE)
+            .withConnectTimeout(LONGEST_READ)
+            .withReadWriteTimeout(LONGEST_READ);
+    return new HttpLoadReportClient(eventloop, client);
+  }
+
+  @Override
+  public CompletableFuture<LoadReport> read(EndpointStatus endpoint) {
+    requireNonNull(endpoint, "endpoint");
+    CompletableFuture<LoadReport> result = new CompletableFuture<>();
+    eventloop.execute(() -> HttpExchanges.forward(readNow(endpoint), result));
+    return result;
+  }
+
+  private Promise<LoadReport> readNow(EndpointStatus endpoint) {
+    return client
+        .request(HttpRequest.get(HttpExchanges.url(endpoint, LOAD_PATH)))
+        .then(HttpLoadReportClient::body)
+        .map(HttpLoadReportClient::parse)
+        .mapException(
+            thrown ->
+                Failure.notRun(FailureType.NO_ENDPOINT, "no load report: " + thrown).toException());
+  }
+
+  private static Promise<ByteBuf> body(HttpResponse response) {
+    return response.getCode() == 200
+        ? response.loadBody(MAX_REPORT_BYTES)
+        : Promise.ofException(new IOException("status " + response.getCode()));
+  }
+
+  private static LoadReport parse(ByteBuf body) throws IOException {
+    return JSON.readValue(body.getArray(), LoadReport.class);
+  }
+}
--- /dev/null
+++ b/snipewick/src/main/java/org/snipewick/endpoint/http/HttpServiceClient.java
@@ -0,0 +1,60 @@
+package org.snipewick.endpoint.http;
+
+import static java.util.Objects.requireNonNull;
+
+import io.activej.eventloop.Eventloop;
+import io.activej.http.HttpHeaders;
+import io.activej.http.HttpMethod;
+import io.activej.http.HttpRequest;
+import io.activej.promise.Promise;
+import java.util.concurrent.CompletableFuture;
+import org.snipewick.endpoint.EndpointAnswer;
+import org.snipewick.endpoint.ServiceCall;
+import org.snipewick.endpoint.ServiceClient;
+
+/** Client of plain services over HTTP; its methods may be called on any thread. */
+public final class HttpServiceClient implements ServiceClient {
+  private final HttpExchanges exchanges;
+
+  private HttpServiceClient(HttpExchanges exchanges) {
+    this.exchanges = exchanges;
+  }
+
+  /**
+   * Returns a client.
+   *
+   * @param eventloop event loop that carries its connections
+   * @return client
+   */
+  public static HttpServiceClient of(Eventloop eventloop) {
+    return new HttpServiceClient(HttpExchanges.of(eventloop));
+  }
+
+  @Override
+  public CompletableFuture<EndpointAnswer> call(ServiceCall call) {
+    requireNonNull(call, "call");
+    return exchanges.start(() -> callNow(call));
+  }
+
+  private Promise<EndpointAnswer> callNow(ServiceCall call) {
+    HttpRequest request = request(call);
+    HttpExchange exchange = HttpExchange.attachedTo(request);
+    return exchanges
+        .send(request, exchange)
+        .then(response -> exchanges.readWhole(response, exchange, call.id(), call.maxBodyBytes()));
+  }
+
+  private static HttpRequest request(ServiceCall call) {
+    HttpRequest request =
+        HttpRequest.of(
+                HttpMethod.valueOf(call.method()),
+                HttpExchanges.url(call.endpoint(), call.pathAndQuery()))
+            .withHeader(HttpNames.REQUEST_ID, call.id().toString());
+    call.headers().forEach((name, value) -> request.addHeader(HttpHeaders.of(name), value));
+    call.key().ifPresent(key -> request.addHeader(HttpNames.IDEMPOTENCY_KEY, key));
+    if (call.body().length > 0) {
+      request.setBody(call.body());
+    }
+    return request;
+  }
+}
--- /dev/null
+++ b/snipewick/src/main/java/org/snipewick/entry/Foundation.java
@@ -0,0 +1,165 @@
+package org.snipewick.entry;
+
+import static java.util.Objects.requireNonNull;
+
+import com.codahale.metrics.MetricRegistry;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.Random;
+import java.util.SplittableRandom;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Supplier;
+import java.util.function.UnaryOperator;
+import org.snipewick.catalogue.CatalogueMessages;
+import org.snipewick.discovery.DiscoveryMessages;
+import org.snipewick.event.Timeline;
+import org.snipewick.idempotency.IdempotencyMessages;
+import org.snipewick.limits.LimitMessages;
+import org.snipewick.membership.Member;
+import org.snipewick.membership.MembershipController;
+import org.snipewick.membership.MembershipMessages;
+import org.snipewick.membership.MembershipSettings;
+import org.snipewick.membership.MembershipView;
+import org.snipewick.peer.PeerCodec;
+import org.snipewick.peer.PeerNetwork;
+import org.snipewick.peer.tcp.TcpPeerNetwork;
+import org.snipewick.platform.ListedInstance;
+import org.snipewick.platform.http.HttpPlatform;
+import org.snipewick.platform.http.PlatformSettings;
+import org.snipewick.platform.http.WriteShares;
+import org.snipewick.pool.PoolMessages;
+import org.snipewick.settings.Settings;
+import org.snipewick.time.SystemTimerService;
+import org.snipewick.writer.WriterMessages;
+
+/**
+ * What every other part of the process stands on.
+ *
+ * @param settings checked settings
+ * @param incarnation start of the process, in milliseconds since the Unix epoch
+ * @param timer source of time; all state of controllers lives on its thread
+ * @param timeline event log
+ * @param metrics metrics of the instance
+ * @param platform access to the platform
+ * @param shares shares of the instance in the platform's rate of writes
+ * @param transport connections to other instances
+ * @param network the transport as the parts see it
+ * @param membership who is alive
+ */
+record Foundation(
+    Settings settings,
+    long incarnation,
+    SystemTimerService timer,
+    Timeline timeline,
+    MetricRegistry metrics,
+    HttpPlatform platform,
+    Supplier<WriteShares> shares,
+    TcpPeerNetwork transport,
+    PeerNetwork network,
+    MembershipController membership) {
+  private static final int TIMELINE_EVENTS = 20_000;
+
+  Foundation {
+    requireNonNull(settings, "settings");
+  }
+
+  static Foundation start(Settings settings, UnaryOperator<PeerNetwork> networkFilter) {
+    SystemTimerService timer = SystemTimerService.of("control");
+    long incarnation = timer.epochMillis();
+    Timeline timeline = Timeline.of(settings.instance().value(), timer, TIMELINE_EVENTS);
+    PlatformSettings access = platformSettings(settings);
+    AtomicReference<WriteShares> shares =
+        new AtomicReference<>(WriteShares.withoutWriters(access, 1));
+    HttpPlatform platform = HttpPlatform.of(access, timer, timeline, new Random(), shares::get);
+    TcpPeerNetwork transport =
+        TcpPeerNetwork.listen(
+            settings.instance(),
+            incarnation,
+            new InetSocketAddress(settings.peers().host(), settings.peers().port()),
+            codec(),
+            timer,
+            timeline,
+            new SplittableRandom());
+    PeerNetwork network = networkFilter.apply(transport);
+    MembershipController membership =
+        MembershipController.of(
+            self(settings, incarnation),
+            MembershipSettings.defaults().withLossRetention(retention(settings)),
+            seeds(settings),
+            platform.instances(),
+            network,
+            timer,
+            timeline,
+            new SplittableRandom());
+    membership.subscribe((before, after) -> shares.set(shares(settings, after)));
+    return new Foundation(
+        settings,
+        incarnation,
+        timer,
+        timeline,
+        new MetricRegistry(),
+        platform,
+        shares::get,
+        transport,
+        network,
+        membership);
+  }
+
+  private static WriteShares shares(Settings settings, MembershipView view) {
+    PlatformSettings access = platformSettings(settings);
+    int instances = view.members().size();
+    return settings.platform().domainWriters()
+        ? WriteShares.withWriters(access, instances, view.byDomain().size())
+        : WriteShares.withoutWriters(access, instances);
+  }
+
+  static Duration retention(Settings settings) {
+    return Duration.ofMillis(settings.keys().retentionMillis());
+  }
+
+  private static PeerCodec codec() {
+    return PeerCodec.ofAll(
+        MembershipMessages.MESSAGE_TYPES,
+        CatalogueMessages.MESSAGE_TYPES,
+        DiscoveryMessages.MESSAGE_TYPES,
+        PoolMessages.MESSAGE_TYPES,
+        LimitMessages.MESSAGE_TYPES,
+        IdempotencyMessages.MESSAGE_TYPES,
+        WriterMessages.MESSAGE_TYPES);
+  }
+
+  private static PlatformSettings platformSettings(Settings settings) {
+    Settings.Platform platform = settings.platform();
+    return PlatformSettings.of(platform.host(), platform.port())
+        .withTimeoutMillis(platform.timeoutMillis())
+        .withRates(platform.writesPerSecond(), platform.readsPerSecond())
+        .withAllWrites(platform.allWritesPerSecond());
+  }
+
+  private static Member self(Settings settings, long incarnation) {
+    return new Member(
+        settings.instance(),
+        settings.failureDomain(),
+        settings.peers().announced().host(),
+        settings.peers().announced().port(),
+        incarnation,
+        Member.State.ALIVE);
+  }
+
+  private static List<ListedInstance> seeds(Settings settings) {
+    return settings.peers().seeds().stream()
+        .filter(seed -> !seed.instance().equals(settings.instance()))
+        .map(
+            seed ->
+                new ListedInstance(
+                    seed.instance().value(),
+                    ListedInstance.Kind.ENTRY,
+                    seed.failureDomain(),
+                    seed.host(),
+                    seed.port(),
+                    "",
+                    ListedInstance.State.LIVE))
+        .toList();
+  }
+}
--- /dev/null
+++ b/snipewick/src/main/java/org/snipewick/event/EventType.java
@@ -0,0 +1,119 @@
+package org.snipewick.event;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.logging.Level;
+
+/**
+ * Catalogue of log events; numbers are never reused. {@code docs/EVENTS.md} lists the same events.
+ */
+@SuppressWarnings("ImmutableEnumChecker") // java.util.logging.Level never changes
+public enum EventType {
+  /** The process accepts callers. */
+  PROCESS_STARTED(100, Level.INFO, "process started"),
+  /** A planned stop began. */
+  PROCESS_STOPPING(101, Level.INFO, "planned stop began"),
+  /** The process ends after a planned stop. */
+  PROCESS_STOPPED(102, Level.INFO, "process stopped"),
+  /** A request was accepted from a caller. */
+  REQUEST_RECEIVED(200, Level.FINE, "request received"),
+  /** A key was claimed. */
+  KEY_CLAIMED(201, Level.FINE, "idempotency key claimed"),
+  /** A request with a known key was answered without dispatch. */
+  KEY_REPEATED(202, Level.FINE, "repeat answered from memory"),
+  /** A request was offered to the scheduler of its pool. */
+  REQUEST_OFFERED(203, Level.FINE, "request offered to scheduler"),
+  /** A request was granted an endpoint. */
+  REQUEST_GRANTED(204, Level.FINE, "request granted an endpoint"),
+  /** A request was dispatched to an endpoint. */
+  REQUEST_DISPATCHED(205, Level.FINE, "request dispatched"),
+  /** The first output token arrived. */
+  FIRST_TOKEN(206, Level.FINE, "first token"),
+  /** An endpoint's answer is complete. */
+  ANSWER_COMPLETE(207, Level.FINE, "answer complete"),
+  /** A request was delivered to its caller. */
+  REQUEST_DELIVERED(208, Level.FINE, "answer delivered"),
+  /** A request ended with a failure. */
+  REQUEST_FAILED(209, Level.FINE, "request failed"),
+  /** A caller left before its answer was complete. */
+  CALLER_LEFT(210, Level.FINE, "caller left"),
+  /** A broken stream was resumed. */
+  STREAM_RESUMED(211, Level.INFO, "stream resumed"),
+  /** A scheduler shed a request. */
+  REQUEST_SHED(212, Level.FINE, "request shed"),
+  /** A scheduler has a request running or waiting; used to check the order of tiers. */
+  REQUEST_QUEUED(213, Level.FINE, "request queued"),
+  /** A catalogue change was accepted by the platform. */
+  CATALOGUE_ACCEPTED(300, Level.INFO, "catalogue change accepted"),
+  /** A catalogue version came into force on this instance. */
+  CATALOGUE_IN_FORCE(301, Level.INFO, "catalogue version in force"),
+  /** A catalogue change was refused because another came first. */
+  CATALOGUE_CONFLICT(302, Level.INFO, "catalogue change conflicts"),
+  /** A member of the group changed its state. */
+  MEMBER_CHANGED(400, Level.INFO, "member changed"),
+  /** This instance lost standing: it was paused or is cut off. */
+  STANDING_LOST(401, Level.WARNING, "standing lost"),
+  /** This instance gained standing. */
+  STANDING_GAINED(402, Level.INFO, "standing gained"),
+  /** This instance became scheduler of a pool. */
+  POOL_TAKEN_OVER(403, Level.INFO, "pool taken over"),
+  /** This instance is no longer scheduler of a pool. */
+  POOL_HANDED_OVER(404, Level.INFO, "pool handed over"),
+  /** An endpoint changed its state. */
+  ENDPOINT_CHANGED(405, Level.INFO, "endpoint changed"),
+  /** The platform stopped answering. */
+  PLATFORM_LOST(500, Level.WARNING, "platform unavailable"),
+  /** The platform answers again. */
+  PLATFORM_REGAINED(501, Level.INFO, "platform available"),
+  /** A lost answer to a write was resolved. */
+  WRITE_RESOLVED(502, Level.INFO, "doubtful write resolved"),
+  /** A lease was taken. */
+  LEASE_TAKEN(503, Level.INFO, "lease taken"),
+  /** A lease was lost or given up. */
+  LEASE_LOST(504, Level.INFO, "lease lost"),
+  /** An order was sent to an endpoint. */
+  ORDER_SENT(505, Level.INFO, "order sent"),
+  /** The writer of the own failure domain did not answer; writes go the direct way. */
+  WRITER_SILENT(506, Level.WARNING, "domain writer silent"),
+  /** A peer connection failed or sent a malformed frame. */
+  PEER_FAILED(600, Level.WARNING, "peer connection failed"),
+  /** A defect of the program was caught. */
+  INTERNAL_ERROR(900, Level.SEVERE, "internal error");
+
+  private final int number;
+  private final Level level;
+  private final String title;
+
+  EventType(int number, Level level, String title) {
+    this.number = number;
+    this.level = requireNonNull(level, "level");
+    this.title = requireNonNull(title, "title");
+  }
+
+  /**
+   * Returns the number of this event.
+   *
+   * @return stable number
+   */
+  public int number() {
+    return number;
+  }
+
+  /**
+   * Returns the level at which it is logged.
+   *
+   * @return level
+   */
+  public Level level() {
+    return level;
+  }
+
+  /**
+   * Returns the title.
+   *
+   * @return short text in English
+   */
+  public String title() {
+    return title;
+  }
+}
--- /dev/null
+++ b/snipewick/src/main/java/org/snipewick/event/package-info.java
@@ -0,0 +1,2 @@
+/** Numbered log events and the time line over all processes. */
+package org.snipewick.event;
--- /dev/null
+++ b/snipewick/src/main/java/org/snipewick/idempotency/IntentRow.java
@@ -0,0 +1,80 @@
+package org.snipewick.idempotency;
+
+import static java.util.Objects.requireNonNull;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
+import com.fasterxml.jackson.module.paramnames.ParameterNamesModule;
+import java.io.UncheckedIOException;
+import java.util.Optional;
+import org.snipewick.identity.RequestId;
+
+/**
+ * Row of the platform's table that is written before an action is dispatched.
+ *
+ * @param fingerprint hash of the request
+ * @param request call that may be dispatched
+ * @param token random value by which the writer recognises its own row
+ * @param state what became of the call
+ * @param answer its answer, if it is kept
+ * @param createdAtEpochMillis when the row was written, in milliseconds since the Unix epoch
+ */
+record IntentRow(
+    String fingerprint,
+    RequestId request,
+    String token,
+    State state,
+    Optional<StoredAnswer> answer,
+    long createdAtEpochMillis) {
+  private static final ObjectMapper MAPPER =
+      JsonMapper.builder()
+          .addModule(new Jdk8Module())
+          .addModule(new ParameterNamesModule())
+          .build();
+
+  IntentRow {
+    requireNonNull(fingerprint, "fingerprint");
+    requireNonNull(request, "request");
+    requireNonNull(token, "token");
+    requireNonNull(state, "state");
+    requireNonNull(answer, "answer");
+  }
+
+  static IntentRow of(KeyedRequest request, String token, long nowEpochMillis) {
+    return new IntentRow(
+        request.fingerprint(), request.id(), token, State.INTENT, Optional.empty(), nowEpochMillis);
+  }
+
+  IntentRow withOutcome(State changed, Optional<StoredAnswer> kept) {
+    return new IntentRow(fingerprint, request, token, changed, kept, createdAtEpochMillis);
+  }
+
+  String toJson() {
+    try {
+      return MAPPER.writeValueAsString(this);
+    } catch (JsonProcessingException failure) {
+      throw new UncheckedIOException(failure);
+    }
+  }
+
+  /** Parses a row; empty if it is not one. */
+  static Optional<IntentRow> parse(String json) {
+    try {
+      return Optional.of(MAPPER.readValue(json, IntentRow.class));
+    } catch (JsonProcessingException failure) {
+      return Optional.empty();
+    }
+  }
+
+  /** What became of the call. */
+  enum State {
+    /** It may be on its way. */
+    INTENT,
+    /** It was answered. */
+    RAN,
+    /** It may have been dispatched, and its end is not known. */
+    UNKNOWN
+  }
+}
--- /dev/null
+++ b/snipewick/src/main/java/org/snipewick/idempotency/RecordHandOver.java
@@ -0,0 +1,94 @@
+package org.snipewick.idempotency;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.snipewick.idempotency.IdempotencyMessages.HandOver;
+import org.snipewick.idempotency.IdempotencyMessages.HandedOver;
+import org.snipewick.identity.InstanceId;
+import org.snipewick.peer.PeerMessage;
+import org.snipewick.peer.PeerNetwork;
+
+/** Sends the records of a leaving instance to the two members that come next in rank. */
+final class RecordHandOver {
+  private static final int COPIES = 2;
+  private static final int MAX_BATCH_RECORDS = 64;
+  private static final int MAX_BATCH_BYTES = 256 * 1024;
+  private static final int RECORD_BYTES = 256;
+
+  private final PeerNetwork network;
+  private final RegistrarPlacement placement;
+  private final LedgerContext context;
+
+  RecordHandOver(PeerNetwork network, RegistrarPlacement placement, LedgerContext context) {
+    this.network = requireNonNull(network, "network");
+    this.placement = requireNonNull(placement, "placement");
+    this.context = requireNonNull(context, "context");
+  }
+
+  CompletableFuture<Void> run(List<KeyRecord> records, Coverage coverage) {
+    long incarnation =
+        context
+            .membership()
+            .view()
+            .find(context.membership().view().self())
+            .orElseThrow()
+            .incarnation();
+    if (placement.others().isEmpty() && !records.isEmpty()) {
+      return CompletableFuture.failedFuture(
+          context.unavailable("no other member to hand over to").toException());
+    }
+    List<CompletableFuture<PeerMessage>> sent = new ArrayList<>();
+    byReceiver(records)
+        .forEach(
+            (receiver, parts) ->
+                batches(parts).forEach(batch -> sent.add(call(receiver, new HandOver(batch)))));
+    return allOf(sent)
+        .thenCompose(
+            done ->
+                allOf(
+                    placement.others().stream()
+                        .map(member -> call(member, new HandedOver(incarnation, coverage)))
+                        .toList()));
+  }
+
+  private Map<InstanceId, List<KeyRecord>> byReceiver(List<KeyRecord> records) {
+    Map<InstanceId, List<KeyRecord>> parts = new HashMap<>();
+    for (KeyRecord record : records) {
+      placement.witnesses(record.key()).stream()
+          .limit(COPIES)
+          .forEach(
+              receiver -> parts.computeIfAbsent(receiver, key -> new ArrayList<>()).add(record));
+    }
+    return parts;
+  }
+
+  private static List<List<KeyRecord>> batches(List<KeyRecord> records) {
+    List<List<KeyRecord>> batches = new ArrayList<>();
+    List<KeyRecord> batch = new ArrayList<>();
+    int bytes = 0;
+    for (KeyRecord record : records) {
+      bytes += RECORD_BYTES + record.answer().map(RecordStore::bytesOf).orElse(0);
+      if (!batch.isEmpty() && (bytes > MAX_BATCH_BYTES || batch.size() >= MAX_BATCH_RECORDS)) {
+        batches.add(batch);
+        batch = new ArrayList<>();
+        bytes = RECORD_BYTES;
+      }
+      batch.add(record);
+    }
+    batches.add(batch);
+    return batches;
+  }
+
+  private CompletableFuture<PeerMessage> call(InstanceId receiver, PeerMessage message) {
+    return network.call(receiver, message, context.settings().claimTimeout());
+  }
+
+  private static CompletableFuture<Void> allOf(List<CompletableFuture<PeerMessage>> calls) {
+    return CompletableFuture.allOf(calls.toArray(CompletableFuture[]::new));
+  }
+}
--- /dev/null
+++ b/snipewick/src/main/java/org/snipewick/identity/EndpointId.java
@@ -0,0 +1,38 @@
+package org.snipewick.identity;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/**
+ * Name of an endpoint: a model replica or a replica of a plain service.
+ *
+ * @param value the name, 1 to 128 visible ASCII characters
+ */
+public record EndpointId(@JsonValue String value) implements Comparable<EndpointId> {
+
+  /** Checks the name. */
+  public EndpointId {
+    Names.check(value, "EndpointId");
+  }
+
+  /**
+   * Returns the identifier with a name.
+   *
+   * @param value the name, 1 to 128 visible ASCII characters
+   * @return identifier
+   */
+  @JsonCreator
+  public static EndpointId of(String value) {
+    return new EndpointId(value);
+  }
+
+  @Override
+  public int compareTo(EndpointId other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/snipewick/src/main/java/org/snipewick/identity/FailureDomain.java
@@ -0,0 +1,38 @@
+package org.snipewick.identity;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/**
+ * Name of a failure domain.
+ *
+ * @param value the name, 1 to 128 visible ASCII characters
+ */
+public record FailureDomain(@JsonValue String value) implements Comparable<FailureDomain> {
+
+  /** Checks the name. */
+  public FailureDomain {
+    Names.check(value, "FailureDomain");
+  }
+
+  /**
+   * Returns the identifier with a name.
+   *
+   * @param value the name, 1 to 128 visible ASCII characters
+   * @return identifier
+   */
+  @JsonCreator
+  public static FailureDomain of(String value) {
+    return new FailureDomain(value);
+  }
+
+  @Override
+  public int compareTo(FailureDomain other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/snipewick/src/main/java/org/snipewick/lease/http/HttpEndpointOrders.java
@@ -0,0 +1,132 @@
+package org.snipewick.lease.http;
+
+import static java.util.Objects.requireNonNull;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.activej.bytebuf.ByteBuf;
+import io.activej.csp.ChannelSupplier;
+import io.activej.eventloop.Eventloop;
+import io.activej.http.AsyncHttpClient;
+import io.activej.http.ContentType;
+import io.activej.http.HttpHeaderValue;
+import io.activej.http.HttpHeaders;
+import io.activej.http.HttpRequest;
+import io.activej.http.MediaTypes;
+import io.activej.promise.Promises;
+import java.io.UncheckedIOException;
+import java.net.ConnectException;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.snipewick.failure.Failure;
+import org.snipewick.failure.FailureException;
+import org.snipewick.failure.FailureType;
+import org.snipewick.lease.EndpointOrder;
+import org.snipewick.lease.EndpointOrders;
+import org.snipewick.lease.Lease;
+import org.snipewick.pool.EndpointStatus;
+
+/** Sends orders by {@code POST /orders}; may be called on any thread. */
+public final class HttpEndpointOrders implements EndpointOrders {
+  private static final ObjectMapper JSON = new ObjectMapper();
+  private static final String PATH = "/orders";
+  private static final int STATUS_ACCEPTED = 200;
+  private static final int STATUS_OLD_FENCING_NUMBER = 409;
+  private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
+
+  private final Eventloop eventloop;
+  private final AsyncHttpClient client;
+
+  private HttpEndpointOrders(Eventloop eventloop, AsyncHttpClient client) {
+    this.eventloop = eventloop;
+    this.client = client;
+  }
+
+  /**
+   * Returns a sender of orders.
+   *
+   * @param eventloop event loop that carries its connections
+   * @return sender
+   */
+  public static HttpEndpointOrders of(Eventloop eventloop) {
+    requireNonNull(eventloop, "eventloop");
+    AsyncHttpClient client =
+        AsyncHttpClient.create(eventloop).withNoKeepAlive().withConnectTimeout(CONNECT_TIMEOUT);
+    return new HttpEndpointOrders(eventloop, client);
+  }
+
+  @Override
+  public CompletableFuture<Void> send(
+      EndpointStatus endpoint, EndpointOrder order, Lease lease, Duration timeout) {
+    byte[] body = body(order, lease.fencing());
+    String url = "http://" + endpoint.host() + ":" + endpoint.port() + PATH;
+    CompletableFuture<Void> result = new CompletableFuture<>();
+    eventloop.execute(
+        () ->
+            Promises.timeout(timeout, client.request(request(url, body, lease)))
+                .run(
+                    (response, thrown) -> {
+                      Optional<Failure> failure =
+                          thrown == null ? failureOf(response.getCode()) : failureOf(thrown);
+                      failure.ifPresentOrElse(
+                          found -> result.completeExceptionally(found.toException()),
+                          () -> result.complete(null));
+                    }));
+    return result;
+  }
+
+  private static HttpRequest request(String url, byte[] body, Lease lease) {
+    return HttpRequest.post(url)
+        .withHeader(HttpHeaders.CONTENT_TYPE, HttpHeaderValue.ofContentType(contentType()))
+        .withHeader(HttpHeaders.CONTENT_LENGTH, HttpHeaderValue.ofDecimal(body.length))
+        .withBodyStream(ChannelSupplier.ofLazyProvider(() -> heldBody(body, lease)));
+  }
+
+  /** Returns the body, asked for when the connection is made; without it there is no order. */
+  private static ChannelSupplier<ByteBuf> heldBody(byte[] body, Lease lease) {
+    return lease
+        .check()
+        .map(lapsed -> ChannelSupplier.<ByteBuf>ofException(lapsed.toException()))
+        .orElseGet(() -> ChannelSupplier.of(ByteBuf.wrapForReading(body)));
+  }
+
+  private static ContentType contentType() {
+    return ContentType.of(MediaTypes.JSON);
+  }
+
+  private static byte[] body(EndpointOrder order, long fencing) {
+    try {
+      return JSON.writeValueAsBytes(new Body(fencing, order.kind().text(), order.argument()));
+    } catch (JsonProcessingException failure) {
+      throw new UncheckedIOException(failure);
+    }
+  }
+
+  private static Optional<Failure> failureOf(int status) {
+    return switch (status) {
+      case STATUS_ACCEPTED -> Optional.empty();
+      case STATUS_OLD_FENCING_NUMBER ->
+          Optional.of(
+              Failure.notRun(
+                  FailureType.LEASE_NOT_HELD, "endpoint has seen a higher fencing number"));
+      default ->
+          Optional.of(
+              Failure.unknown(FailureType.NO_ENDPOINT, "endpoint answered with status " + status));
+    };
+  }
+
+  private static Optional<Failure> failureOf(Exception thrown) {
+    Throwable cause = thrown.getCause() == null ? thrown : thrown.getCause();
+    if (cause instanceof FailureException lapsed) {
+      return Optional.of(lapsed.failure());
+    }
+    String detail = "order failed: " + thrown;
+    return Optional.of(
+        cause instanceof ConnectException
+            ? Failure.notRun(FailureType.NO_ENDPOINT, detail)
+            : Failure.unknown(FailureType.NO_ENDPOINT, detail));
+  }
+
+  private record Body(long fencing, String order, String argument) {}
+}
--- /dev/null
+++ b/snipewick/src/main/java/org/snipewick/lease/http/package-info.java
@@ -0,0 +1,2 @@
+/** Orders to endpoints over HTTP. */
+package org.snipewick.lease.http;
--- /dev/null
+++ b/snipewick/src/main/java/org/snipewick/limits/package-info.java
@@ -0,0 +1,2 @@
+/** Limits of teams, held over all instances. */
+package org.snipewick.limits;
--- /dev/null
+++ b/snipewick/src/main/java/org/snipewick/membership/Loss.java
@@ -0,0 +1,22 @@
+package org.snipewick.membership;
+
+import static java.util.Objects.requireNonNull;
+
+import com.fasterxml.jackson.annotation.JsonFormat;
+import org.snipewick.identity.InstanceId;
+
+/**
+ * A process of the own failure domain that ended without a planned stop, or is believed to have.
+ *
+ * @param id name of the instance
+ * @param incarnation start of the lost process, in milliseconds since the Unix epoch
+ * @param atEpochMillis when it was declared dead, in milliseconds since the Unix epoch
+ */
+@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+public record Loss(InstanceId id, long incarnation, long atEpochMillis) {
+
+  /** Checks the parts. */
+  public Loss {
+    requireNonNull(id, "id");
+  }
+}
--- /dev/null
+++ b/snipewick/src/main/java/org/snipewick/membership/MembershipView.java
@@ -0,0 +1,108 @@
+package org.snipewick.membership;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import org.snipewick.identity.FailureDomain;
+import org.snipewick.identity.InstanceId;
+
+/**
+ * Immutable snapshot of the members known to an instance, itself included.
+ *
+ * @param self the instance that holds this view
+ * @param members members by name
+ */
+public record MembershipView(InstanceId self, Map<InstanceId, Member> members) {
+
+  /** Checks and copies the parts. */
+  public MembershipView {
+    requireNonNull(self, "self");
+    members = Map.copyOf(members);
+    if (!members.containsKey(self)) {
+      throw new IllegalArgumentException("view lacks the instance itself: " + self);
+    }
+  }
+
+  /**
+   * Returns a view of members.
+   *
+   * @param self the instance that holds the view
+   * @param members all members, the instance itself included
+   * @return view
+   */
+  public static MembershipView ofAll(InstanceId self, Collection<Member> members) {
+    return new MembershipView(
+        self, members.stream().collect(Collectors.toMap(Member::id, member -> member)));
+  }
+
+  /**
+   * Returns the failure domain of the instance that holds this view.
+   *
+   * @return own failure domain
+   */
+  public FailureDomain ownDomain() {
+    return members.get(self).domain();
+  }
+
+  /**
+   * Finds a member.
+   *
+   * @param id name
+   * @return member, empty if not known
+   */
+  public Optional<Member> find(InstanceId id) {
+    return Optional.ofNullable(members.get(id));
+  }
+
+  /**
+   * Tells whether a member is believed to answer.
+   *
+   * @param id name
+   * @return whether it is known and not dead
+   */
+  public boolean isReachable(InstanceId id) {
+    return find(id).filter(member -> member.state() != Member.State.DEAD).isPresent();
+  }
+
+  /**
+   * Lists the members of a domain that are not dead, in order of their names.
+   *
+   * @param domain failure domain
+   * @return alive and leaving members
+   */
+  public List<Member> reachableIn(FailureDomain domain) {
+    return members.values().stream()
+        .filter(member -> member.domain().equals(domain))
+        .filter(member -> member.state() != Member.State.DEAD)
+        .sorted(Comparator.comparing(Member::id))
+        .toList();
+  }
+
+  /**
+   * Lists the members of a domain that may hold duties, in order of their names.
+   *
+   * @param domain failure domain
+   * @return alive members
+   */
+  public List<Member> aliveIn(FailureDomain domain) {
+    return reachableIn(domain).stream()
+        .filter(member -> member.state() == Member.State.ALIVE)
+        .toList();
+  }
+
+  /**
+   * Groups all members by failure domain, dead ones included.
+   *
+   * @return members by domain, in order of the domains' names
+   */
+  public Map<FailureDomain, List<Member>> byDomain() {
+    return members.values().stream()
+        .collect(Collectors.groupingBy(Member::domain, TreeMap::new, Collectors.toList()));
+  }
+}
--- /dev/null
+++ b/snipewick/src/main/java/org/snipewick/membership/package-info.java
@@ -0,0 +1,2 @@
+/** Which entry instances are alive: heartbeats, suspicion, views. */
+package org.snipewick.membership;
--- /dev/null
+++ b/snipewick/src/main/java/org/snipewick/metrics/PrometheusText.java
@@ -0,0 +1,59 @@
+package org.snipewick.metrics;
+
+import static java.util.Objects.requireNonNull;
+
+import com.codahale.metrics.MetricRegistry;
+import io.prometheus.client.Collector;
+import io.prometheus.client.dropwizard.DropwizardExports;
+import io.prometheus.client.dropwizard.samplebuilder.CustomMappingSampleBuilder;
+import io.prometheus.client.dropwizard.samplebuilder.MapperConfig;
+import io.prometheus.client.exporter.common.TextFormat;
+import java.io.IOException;
+import java.io.StringWriter;
+import java.io.UncheckedIOException;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+
+/** Writes a metric registry in the Prometheus text format; tiers become labels. */
+public final class PrometheusText {
+  private static final List<MapperConfig> MAPPINGS =
+      List.of(
+          new MapperConfig("*.tier.*.type.*", "${0}", Map.of("tier", "${1}", "type", "${2}")),
+          new MapperConfig(
+              "*.*.tier.*.type.*", "${0}.${1}", Map.of("tier", "${2}", "type", "${3}")),
+          new MapperConfig("*.tier.*", "${0}", Map.of("tier", "${1}")),
+          new MapperConfig("*.*.tier.*", "${0}.${1}", Map.of("tier", "${2}")));
+
+  private final Collector collector;
+
+  private PrometheusText(Collector collector) {
+    this.collector = collector;
+  }
+
+  /**
+   * Returns a writer for a registry.
+   *
+   * @param registry metrics; names of the form {@code name.tier.N} get a label for the tier
+   * @return writer
+   */
+  public static PrometheusText of(MetricRegistry registry) {
+    requireNonNull(registry, "registry");
+    return new PrometheusText(
+        new DropwizardExports(registry, new CustomMappingSampleBuilder(MAPPINGS)));
+  }
+
+  /**
+   * Writes all metrics as they stand.
+   *
+   * @return text in the Prometheus text format, version 0.0.4
+   */
+  public String write() {
+    try (StringWriter writer = new StringWriter()) {
+      TextFormat.write004(writer, Collections.enumeration(collector.collect()));
+      return writer.toString();
+    } catch (IOException failure) {
+      throw new UncheckedIOException(failure);
+    }
+  }
+}
--- /dev/null
+++ b/snipewick/src/main/java/org/snipewick/peer/PeerCodec.java
@@ -0,0 +1,227 @@
+package org.snipewick.peer;
+
+import static java.util.Objects.requireNonNull;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
+import com.fasterxml.jackson.module.paramnames.ParameterNamesModule;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.msgpack.jackson.dataformat.MessagePackFactory;
+import org.snipewick.failure.Failure;
+import org.snipewick.failure.FailureException;
+import org.snipewick.failure.FailureType;
+import org.snipewick.identity.InstanceId;
+
+/**
+ * Maps frames to MessagePack and back. A frame is an array of its kind, the identifier of the call,
+ * the name of the message type and the message; parts that a kind lacks are left out.
+ */
+public final class PeerCodec {
+  private static final int HELLO = 0;
+  private static final int SEND = 1;
+  private static final int CALL = 2;
+  private static final int ANSWER = 3;
+  private static final int REFUSAL = 4;
+  private static final int PING = 5;
+  private static final int PONG = 6;
+  private static final String NO_MESSAGE = "";
+
+  private final ObjectMapper mapper;
+  private final Map<String, Class<? extends PeerMessage>> typesByName;
+  private final Map<Class<?>, String> namesByType;
+
+  private PeerCodec(
+      Map<String, Class<? extends PeerMessage>> typesByName, Map<Class<?>, String> namesByType) {
+    this.typesByName = Map.copyOf(typesByName);
+    this.namesByType = Map.copyOf(namesByType);
+    this.mapper =
+        new ObjectMapper(new MessagePackFactory())
+            .registerModule(new Jdk8Module())
+            .registerModule(new ParameterNamesModule())
+            .registerModule(DurationModule.create())
+            .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
+  }
+
+  /**
+   * Returns a codec of message types.
+   *
+   * @param types types by stable name, one map a package
+   * @return codec
+   * @throws IllegalArgumentException if two types share a name
+   */
+  @SafeVarargs
+  public static PeerCodec ofAll(Map<String, Class<? extends PeerMessage>>... types) {
+    Map<String, Class<? extends PeerMessage>> typesByName = new HashMap<>();
+    Map<Class<?>, String> namesByType = new HashMap<>();
+    for (Map<String, Class<? extends PeerMessage>> map : types) {
+      map.forEach(
+          (name, type) -> {
+            if (name.isEmpty()
+                || typesByName.put(name, type) != null
+                || namesByType.put(type, name) != null) {
+              throw new IllegalArgumentException("message type registered twice: " + name);
+            }
+          });
+    }
+    return new PeerCodec(typesByName, namesByType);
+  }
+
+  /**
+   * Encodes a frame, without its length.
+   *
+   * @param frame what to encode
+   * @return MessagePack
+   * @throws FailureException of {@link FailureType#MALFORMED_FRAME} if the message's type is not
+   *     registered or cannot be mapped
+   */
+  public byte[] encode(Frame frame) {
+    requireNonNull(frame, "frame");
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    try (JsonGenerator generator = mapper.getFactory().createGenerator(bytes)) {
+      generator.writeStartArray();
+      write(generator, frame);
+      generator.writeEndArray();
+    } catch (IOException cause) {
+      throw malformed("cannot encode: " + cause.getMessage());
+    }
+    return bytes.toByteArray();
+  }
+
+  /**
+   * Decodes a frame, without its length.
+   *
+   * @param bytes MessagePack
+   * @return frame
+   * @throws FailureException of {@link FailureType#MALFORMED_FRAME} if the bytes are not a frame
+   */
+  public Frame decode(byte[] bytes) {
+    try (JsonParser parser = mapper.getFactory().createParser(bytes)) {
+      expect(parser.nextToken() == JsonToken.START_ARRAY, "not an array");
+      Frame frame = read(parser);
+      expect(parser.nextToken() == JsonToken.END_ARRAY, "too many parts");
+      return frame;
+    } catch (FailureException malformed) {
+      throw malformed;
+    } catch (IOException | RuntimeException cause) {
+      throw malformed("cannot decode: " + cause.getMessage());
+    }
+  }
+
+  private void write(JsonGenerator generator, Frame frame) throws IOException {
+    if (frame instanceof Frame.Hello hello) {
+      generator.writeNumber(HELLO);
+      generator.writeString(hello.from().value());
+      generator.writeNumber(hello.incarnation());
+      generator.writeString(hello.to().value());
+    } else if (frame instanceof Frame.Send send) {
+      generator.writeNumber(SEND);
+      writeMessage(generator, send.message());
+    } else if (frame instanceof Frame.Call call) {
+      generator.writeNumber(CALL);
+      generator.writeNumber(call.id());
+      writeMessage(generator, call.message());
+    } else if (frame instanceof Frame.Answer answer) {
+      writeAnswer(generator, answer);
+    } else if (frame instanceof Frame.Refusal refusal) {
+      generator.writeNumber(REFUSAL);
+      generator.writeNumber(refusal.id());
+      mapper.writeValue(generator, refusal.failure());
+    } else if (frame instanceof Frame.Ping) {
+      generator.writeNumber(PING);
+    } else if (frame instanceof Frame.Pong) {
+      generator.writeNumber(PONG);
+    } else {
+      throw malformed("not for sending: " + frame);
+    }
+  }
+
+  private void writeAnswer(JsonGenerator generator, Frame.Answer answer) throws IOException {
+    generator.writeNumber(ANSWER);
+    generator.writeNumber(answer.id());
+    if (answer.message().isPresent()) {
+      writeMessage(generator, answer.message().get());
+    } else {
+      generator.writeString(NO_MESSAGE);
+    }
+  }
+
+  private void writeMessage(JsonGenerator generator, PeerMessage message) throws IOException {
+    String name = namesByType.get(message.getClass());
+    expect(name != null, "message type is not registered: " + message.getClass().getName());
+    generator.writeString(name);
+    mapper.writeValue(generator, message);
+  }
+
+  private Frame read(JsonParser parser) throws IOException {
+    int kind = (int) nextNumber(parser);
+    return switch (kind) {
+      case HELLO ->
+          new Frame.Hello(
+              InstanceId.of(nextText(parser)), nextNumber(parser), InstanceId.of(nextText(parser)));
+      case SEND -> readMessage(parser, Optional.empty());
+      case CALL -> readMessage(parser, Optional.of(nextNumber(parser)));
+      case ANSWER -> readAnswer(parser, nextNumber(parser));
+      case REFUSAL -> new Frame.Refusal(nextNumber(parser), nextValue(parser, Failure.class));
+      case PING -> new Frame.Ping();
+      case PONG -> new Frame.Pong();
+      default -> throw malformed("unknown kind of frame " + kind);
+    };
+  }
+
+  private Frame readMessage(JsonParser parser, Optional<Long> call) throws IOException {
+    String name = nextText(parser);
+    Class<? extends PeerMessage> type = typesByName.get(name);
+    if (type == null) {
+      parser.nextToken();
+      parser.skipChildren();
+      return new Frame.Unsupported(call, name);
+    }
+    PeerMessage message = nextValue(parser, type);
+    return call.isPresent() ? new Frame.Call(call.get(), message) : new Frame.Send(message);
+  }
+
+  private Frame readAnswer(JsonParser parser, long id) throws IOException {
+    String name = nextText(parser);
+    if (name.equals(NO_MESSAGE)) {
+      return new Frame.Answer(id, Optional.empty());
+    }
+    Class<? extends PeerMessage> type = typesByName.get(name);
+    expect(type != null, "answer of unknown type " + name);
+    return new Frame.Answer(id, Optional.of(nextValue(parser, type)));
+  }
+
+  private <T> T nextValue(JsonParser parser, Class<T> type) throws IOException {
+    expect(parser.nextToken() != null, "value missing");
+    T value = mapper.readValue(parser, type);
+    expect(value != null, "value is null");
+    return value;
+  }
+
+  private static long nextNumber(JsonParser parser) throws IOException {
+    expect(parser.nextToken() == JsonToken.VALUE_NUMBER_INT, "number missing");
+    return parser.getLongValue();
+  }
+
+  private static String nextText(JsonParser parser) throws IOException {
+    expect(parser.nextToken() == JsonToken.VALUE_STRING, "text missing");
+    return parser.getText();
+  }
+
+  private static void expect(boolean condition, String detail) {
+    if (!condition) {
+      throw malformed(detail);
+    }
+  }
+
+  private static RuntimeException malformed(String detail) {
+    return Failure.notRun(FailureType.MALFORMED_FRAME, detail).toException();
+  }
+}
--- /dev/null
+++ b/snipewick/src/main/java/org/snipewick/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Messages between entry instances: framed MessagePack over TCP. */
+package org.snipewick.peer;
--- /dev/null
+++ b/snipewick/src/main/java/org/snipewick/platform/Write.java
@@ -0,0 +1,93 @@
+package org.snipewick.platform;
+
+import static java.util.Objects.requireNonNull;
+
+/** One conditional write to the platform's table. */
+public sealed interface Write {
+
+  /**
+   * Returns the key of the row.
+   *
+   * @return key
+   */
+  String key();
+
+  /**
+   * Returns a write that succeeds only if the row does not exist.
+   *
+   * @param key key of the row
+   * @param value content
+   * @return write
+   */
+  static Write insert(String key, String value) {
+    return new Insert(key, value);
+  }
+
+  /**
+   * Returns a write that succeeds only if the row has the given version.
+   *
+   * @param key key of the row
+   * @param version version that the row must have
+   * @param value new content
+   * @return write
+   */
+  static Write replace(String key, long version, String value) {
+    return new Replace(key, version, value);
+  }
+
+  /**
+   * Returns a removal that succeeds only if the row has the given version.
+   *
+   * @param key key of the row
+   * @param version version that the row must have
+   * @return write
+   */
+  static Write delete(String key, long version) {
+    return new Delete(key, version);
+  }
+
+  /**
+   * Insertion of a row that does not exist.
+   *
+   * @param key key of the row
+   * @param value content
+   */
+  record Insert(String key, String value) implements Write {
+
+    /** Checks the parts. */
+    public Insert {
+      requireNonNull(key, "key");
+      requireNonNull(value, "value");
+    }
+  }
+
+  /**
+   * Replacement of a row that has a known version.
+   *
+   * @param key key of the row
+   * @param version version that the row must have
+   * @param value new content
+   */
+  record Replace(String key, long version, String value) implements Write {
+
+    /** Checks the parts. */
+    public Replace {
+      requireNonNull(key, "key");
+      requireNonNull(value, "value");
+    }
+  }
+
+  /**
+   * Removal of a row that has a known version.
+   *
+   * @param key key of the row
+   * @param version version that the row must have
+   */
+  record Delete(String key, long version) implements Write {
+
+    /** Checks the key. */
+    public Delete {
+      requireNonNull(key, "key");
+    }
+  }
+}
--- /dev/null
+++ b/snipewick/src/main/java/org/snipewick/platform/http/CircuitBreaker.java
@@ -0,0 +1,90 @@
+package org.snipewick.platform.http;
+
+import static java.util.Objects.requireNonNull;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+import org.snipewick.event.EventLog;
+import org.snipewick.event.EventType;
+import org.snipewick.failure.Failure;
+import org.snipewick.failure.FailureType;
+import org.snipewick.platform.PlatformHealth;
+import org.snipewick.time.TimerService;
+
+/** Stops calls after failures in a row until a probe has been answered. */
+final class CircuitBreaker implements PlatformHealth {
+  private final PlatformSettings.Circuit settings;
+  private final TimerService timer;
+  private final EventLog events;
+  private final RandomGenerator random;
+  private final Supplier<CompletableFuture<Reply>> probe;
+  private final AtomicReference<State> state = new AtomicReference<>(new State(0, false));
+
+  private record State(int failures, boolean open) {}
+
+  CircuitBreaker(
+      PlatformSettings.Circuit settings,
+      TimerService timer,
+      EventLog events,
+      RandomGenerator random,
+      Supplier<CompletableFuture<Reply>> probe) {
+    this.settings = requireNonNull(settings, "settings");
+    this.timer = requireNonNull(timer, "timer");
+    this.events = requireNonNull(events, "events");
+    this.random = requireNonNull(random, "random");
+    this.probe = requireNonNull(probe, "probe");
+  }
+
+  @Override
+  public boolean isAvailable() {
+    return !state.get().open();
+  }
+
+  @Override
+  public Duration retryAfter() {
+    return Duration.ofMillis(2 * settings.probeMillis());
+  }
+
+  /** Returns the failure of a call that is not sent or could not be answered. */
+  Failure unavailable(String detail) {
+    return Failure.notRun(FailureType.PLATFORM_UNAVAILABLE, detail).withRetryAfter(retryAfter());
+  }
+
+  /** Notes what came of a call. */
+  void observe(Reply reply) {
+    boolean alive = reply.showsPlatformAlive();
+    State before =
+        state.getAndUpdate(
+            present -> {
+              if (present.open()) {
+                return present;
+              }
+              int failures = alive ? 0 : present.failures() + 1;
+              return new State(failures, failures >= settings.failuresToOpen());
+            });
+    boolean opened = !alive && !before.open() && before.failures() + 1 >= settings.failuresToOpen();
+    if (opened) {
+      events.record(EventType.PLATFORM_LOST, "", Map.of("detail", reply.detail()));
+      probeLater();
+    }
+  }
+
+  private void probeLater() {
+    long spread = settings.probeMillis();
+    Duration delay = Duration.ofMillis(spread / 2 + random.nextLong(spread + 1));
+    timer.after(delay, () -> probe.get().thenAccept(this::onProbe));
+  }
+
+  private void onProbe(Reply reply) {
+    if (reply.showsPlatformAlive()) {
+      state.set(new State(0, false));
+      events.record(EventType.PLATFORM_REGAINED, "");
+    } else {
+      probeLater();
+    }
+  }
+}
--- /dev/null
+++ b/snipewick/src/main/java/org/snipewick/platform/http/PlatformSettings.java
@@ -0,0 +1,271 @@
+package org.snipewick.platform.http;
+
+import static java.util.Objects.requireNonNull;
+
+/**
+ * Settings of the access to the platform.
+ *
+ * @param host IP address
+ * @param port TCP port
+ * @param timeoutMillis time after which a call is given up on, in milliseconds
+ * @param writesPerSecond most calls per second that write; a batch is one call
+ * @param allWritesPerSecond most such calls per second of all instances together
+ * @param readsPerSecond most calls per second that read
+ * @param batching how writes share a call
+ * @param retry how calls are repeated
+ * @param circuit when calls fail at once
+ */
+public record PlatformSettings(
+    String host,
+    int port,
+    long timeoutMillis,
+    double writesPerSecond,
+    double allWritesPerSecond,
+    double readsPerSecond,
+    Batching batching,
+    Retry retry,
+    Circuit circuit) {
+  private static final int MAX_PORT = 65_535;
+  private static final long TIMEOUT_MILLIS = 1_000;
+  private static final double WRITES_PER_SECOND = 40;
+  private static final double ALL_WRITES_PER_SECOND = 320;
+  private static final double READS_PER_SECOND = 200;
+
+  /** Checks the values. */
+  public PlatformSettings {
+    requireNonNull(host, "host");
+    requireNonNull(batching, "batching");
+    requireNonNull(retry, "retry");
+    requireNonNull(circuit, "circuit");
+    check(port > 0 && port <= MAX_PORT, "port");
+    check(timeoutMillis > 0, "timeoutMillis");
+    check(writesPerSecond > 0, "writesPerSecond");
+    check(allWritesPerSecond > 0, "allWritesPerSecond");
+    check(readsPerSecond > 0, "readsPerSecond");
+  }
+
+  /**
+   * Returns the default settings for a platform.
+   *
+   * @param host IP address
+   * @param port TCP port
+   * @return settings
+   */
+  public static PlatformSettings of(String host, int port) {
+    return new PlatformSettings(
+        host,
+        port,
+        TIMEOUT_MILLIS,
+        WRITES_PER_SECOND,
+        ALL_WRITES_PER_SECOND,
+        READS_PER_SECOND,
+        Batching.defaults(),
+        Retry.defaults(),
+        Circuit.defaults());
+  }
+
+  /**
+   * Returns these settings with another time-out.
+   *
+   * @param millis time in milliseconds, positive
+   * @return changed copy
+   */
+  public PlatformSettings withTimeoutMillis(long millis) {
+    return new PlatformSettings(
+        host,
+        port,
+        millis,
+        writesPerSecond,
+        allWritesPerSecond,
+        readsPerSecond,
+        batching,
+        retry,
+        circuit);
+  }
+
+  /**
+   * Returns these settings with other rates.
+   *
+   * @param writes calls per second that write, positive
+   * @param reads calls per second that read, positive
+   * @return changed copy
+   */
+  public PlatformSettings withRates(double writes, double reads) {
+    return new PlatformSettings(
+        host, port, timeoutMillis, writes, allWritesPerSecond, reads, batching, retry, circuit);
+  }
+
+  /**
+   * Returns these settings with another rate of writes of all instances together.
+   *
+   * @param writes calls per second that write, positive
+   * @return changed copy
+   */
+  public PlatformSettings withAllWrites(double writes) {
+    return new PlatformSettings(
+        host,
+        port,
+        timeoutMillis,
+        writesPerSecond,
+        writes,
+        readsPerSecond,
+        batching,
+        retry,
+        circuit);
+  }
+
+  /** Returns the rate of writes of one of several instances that share the platform. */
+  double writesPerSecondAmong(int instances) {
+    return Math.min(writesPerSecond, allWritesPerSecond / Math.max(1, instances));
+  }
+
+  /**
+   * Returns these settings with another way to share calls.
+   *
+   * @param changed how writes share a call
+   * @return changed copy
+   */
+  public PlatformSettings withBatching(Batching changed) {
+    return new PlatformSettings(
+        host,
+        port,
+        timeoutMillis,
+        writesPerSecond,
+        allWritesPerSecond,
+        readsPerSecond,
+        changed,
+        retry,
+        circuit);
+  }
+
+  /**
+   * Returns these settings with another way to repeat calls.
+   *
+   * @param changed how calls are repeated
+   * @return changed copy
+   */
+  public PlatformSettings withRetry(Retry changed) {
+    return new PlatformSettings(
+        host,
+        port,
+        timeoutMillis,
+        writesPerSecond,
+        allWritesPerSecond,
+        readsPerSecond,
+        batching,
+        changed,
+        circuit);
+  }
+
+  /**
+   * Returns these settings with another circuit.
+   *
+   * @param changed when calls fail at once
+   * @return changed copy
+   */
+  public PlatformSettings withCircuit(Circuit changed) {
+    return new PlatformSettings(
+        host,
+        port,
+        timeoutMillis,
+        writesPerSecond,
+        allWritesPerSecond,
+        readsPerSecond,
+        batching,
+        retry,
+        changed);
+  }
+
+  private static void check(boolean holds, String name) {
+    if (!holds) {
+      throw new IllegalArgumentException("Setting out of range: " + name);
+    }
+  }
+
+  /**
+   * How writes share a call.
+   *
+   * @param maxRows most rows in one call
+   * @param lingerMillis time that a first write waits for others, in milliseconds
+   * @param maxWaiting writes that may wait; further ones are rejected
+   */
+  public record Batching(int maxRows, long lingerMillis, int maxWaiting) {
+    private static final int MAX_ROWS = 200;
+    private static final long LINGER_MILLIS = 2;
+    private static final int MAX_WAITING = 5_000;
+
+    /** Checks the values. */
+    public Batching {
+      check(maxRows > 0, "maxRows");
+      check(lingerMillis >= 0, "lingerMillis");
+      check(maxWaiting > 0, "maxWaiting");
+    }
+
+    /**
+     * Returns the defaults.
+     *
+     * @return settings
+     */
+    public static Batching defaults() {
+      return new Batching(MAX_ROWS, LINGER_MILLIS, MAX_WAITING);
+    }
+  }
+
+  /**
+   * How calls are repeated: exponential backoff with full jitter within a budget.
+   *
+   * @param maxAttempts attempts of one call, the first included
+   * @param baseMillis longest wait before the second attempt, in milliseconds
+   * @param maxMillis longest wait before any attempt, in milliseconds
+   * @param budgetShare retries that each first attempt allows
+   */
+  public record Retry(int maxAttempts, long baseMillis, long maxMillis, double budgetShare) {
+    private static final int MAX_ATTEMPTS = 3;
+    private static final long BASE_MILLIS = 50;
+    private static final long MAX_MILLIS = 1_000;
+    private static final double BUDGET_SHARE = 0.2;
+
+    /** Checks the values. */
+    public Retry {
+      check(maxAttempts > 0, "maxAttempts");
+      check(baseMillis > 0, "baseMillis");
+      check(maxMillis >= baseMillis, "maxMillis");
+      check(budgetShare >= 0, "budgetShare");
+    }
+
+    /**
+     * Returns the defaults.
+     *
+     * @return settings
+     */
+    public static Retry defaults() {
+      return new Retry(MAX_ATTEMPTS, BASE_MILLIS, MAX_MILLIS, BUDGET_SHARE);
+    }
+  }
+
+  /**
+   * When calls fail at once instead of being sent.
+   *
+   * @param failuresToOpen failures in a row after which calls fail at once
+   * @param probeMillis mean time between probes, in milliseconds
+   */
+  public record Circuit(int failuresToOpen, long probeMillis) {
+    private static final int FAILURES_TO_OPEN = 3;
+    private static final long PROBE_MILLIS = 1_000;
+
+    /** Checks the values. */
+    public Circuit {
+      check(failuresToOpen > 0, "failuresToOpen");
+      check(probeMillis > 0, "probeMillis");
+    }
+
+    /**
+     * Returns the defaults.
+     *
+     * @return settings
+     */
+    public static Circuit defaults() {
+      return new Circuit(FAILURES_TO_OPEN, PROBE_MILLIS);
+    }
+  }
+}
--- /dev/null
+++ b/snipewick/src/main/java/org/snipewick/platform/http/RetryPolicy.java
@@ -0,0 +1,51 @@
+package org.snipewick.platform.http;
+
+import static java.util.Objects.requireNonNull;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.random.RandomGenerator;
+
+/** Exponential backoff with full jitter, within a budget that first attempts fill; lock-free. */
+final class RetryPolicy {
+  private static final long UNITS_PER_RETRY = 1_000;
+  private static final long MAX_SAVED_RETRIES = 10;
+  private static final int MAX_DOUBLINGS = 20;
+
+  private final PlatformSettings.Retry settings;
+  private final RandomGenerator random;
+  private final AtomicLong budget = new AtomicLong(MAX_SAVED_RETRIES * UNITS_PER_RETRY);
+
+  RetryPolicy(PlatformSettings.Retry settings, RandomGenerator random) {
+    this.settings = requireNonNull(settings, "settings");
+    this.random = requireNonNull(random, "random");
+  }
+
+  /** Notes a first attempt, which adds its share to the budget. */
+  void recordFirstAttempt() {
+    long share = Math.round(settings.budgetShare() * UNITS_PER_RETRY);
+    budget.updateAndGet(units -> Math.min(MAX_SAVED_RETRIES * UNITS_PER_RETRY, units + share));
+  }
+
+  /**
+   * Takes a retry out of the budget.
+   *
+   * @param attempts attempts made so far, at least 1
+   * @return wait before the next attempt; empty if there must be none
+   */
+  Optional<Duration> next(int attempts) {
+    if (attempts >= settings.maxAttempts() || !withdraw()) {
+      return Optional.empty();
+    }
+    long ceiling = settings.baseMillis() << Math.min(attempts - 1, MAX_DOUBLINGS);
+    long millis = random.nextLong(Math.min(settings.maxMillis(), ceiling) + 1);
+    return Optional.of(Duration.ofMillis(millis));
+  }
+
+  private boolean withdraw() {
+    long before =
+        budget.getAndUpdate(units -> units >= UNITS_PER_RETRY ? units - UNITS_PER_RETRY : units);
+    return before >= UNITS_PER_RETRY;
+  }
+}
--- /dev/null
+++ b/snipewick/src/main/java/org/snipewick/pool/DecisionEvents.java
@@ -0,0 +1,86 @@
+package org.snipewick.pool;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.snipewick.event.EventLog;
+import org.snipewick.event.EventType;
+import org.snipewick.failure.FailureType;
+import org.snipewick.identity.FailureDomain;
+import org.snipewick.identity.InstanceId;
+import org.snipewick.identity.PoolName;
+import org.snipewick.identity.RequestId;
+import org.snipewick.identity.Tier;
+
+/** Records what a scheduler takes and decides, so that the order of tiers can be checked. */
+final class DecisionEvents {
+  static final String POOL = "pool";
+  static final String DOMAIN = "domain";
+  static final String TIER = "tier";
+  static final String STATE = "state";
+  static final String REASON = "reason";
+  static final String WAITING = "waiting";
+  static final String LEFT = "left";
+
+  private final EventLog log;
+  private final FailureDomain domain;
+  private final Map<RequestId, Queued> waiting = new HashMap<>();
+
+  private record Queued(PoolName pool, Tier tier) {}
+
+  DecisionEvents(EventLog log, FailureDomain domain) {
+    this.log = requireNonNull(log, "log");
+    this.domain = requireNonNull(domain, "domain");
+  }
+
+  void queued(WorkRequest work) {
+    if (waiting.putIfAbsent(work.id(), new Queued(work.pool(), work.tier())) == null) {
+      queueEvent(work.pool(), work.id(), work.tier(), WAITING);
+    }
+  }
+
+  void withdrawn(PoolName pool, RequestId id) {
+    Queued queued = waiting.remove(id);
+    if (queued != null) {
+      queueEvent(pool, id, queued.tier(), LEFT);
+    }
+  }
+
+  void entryLost(PoolName pool, InstanceId entry) {
+    List.copyOf(waiting.entrySet()).stream()
+        .filter(each -> each.getKey().instance().equals(entry))
+        .filter(each -> each.getValue().pool().equals(pool))
+        .forEach(each -> withdrawn(pool, each.getKey()));
+  }
+
+  void decided(PoolName pool, Decision decision) {
+    if (!(decision instanceof Decision.Refuse refuse) || refuse.reason() != FailureType.SHED) {
+      withdrawn(pool, decision.request());
+      return;
+    }
+    Queued queued = waiting.remove(decision.request());
+    if (queued != null) {
+      log.record(
+          EventType.REQUEST_SHED,
+          decision.request().toString(),
+          Map.of(
+              POOL,
+              pool.value(),
+              DOMAIN,
+              domain.value(),
+              TIER,
+              queued.tier().number(),
+              REASON,
+              refuse.reason().name()));
+    }
+  }
+
+  private void queueEvent(PoolName pool, RequestId id, Tier tier, String state) {
+    log.record(
+        EventType.REQUEST_QUEUED,
+        id.toString(),
+        Map.of(POOL, pool.value(), DOMAIN, domain.value(), TIER, tier.number(), STATE, state));
+  }
+}
--- /dev/null
+++ b/snipewick/src/main/java/org/snipewick/pool/TierOrderCheck.java
@@ -0,0 +1,96 @@
+package org.snipewick.pool;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.snipewick.event.Event;
+import org.snipewick.event.EventType;
+import org.snipewick.identity.Tier;
+
+/**
+ * Checks a run's time line: no scheduler sheds a request while a request of a lower tier waits with
+ * it.
+ */
+public final class TierOrderCheck {
+  private TierOrderCheck() {}
+
+  /**
+   * A request that was shed too early.
+   *
+   * @param shed the event of the shedding
+   * @param tier tier of the request
+   * @param waiting a request that was still waiting with the same scheduler
+   * @param lowerTier its tier
+   */
+  public record Violation(Event shed, Tier tier, String waiting, Tier lowerTier) {
+
+    /** Checks the parts. */
+    public Violation {
+      requireNonNull(shed, "shed");
+      requireNonNull(tier, "tier");
+      requireNonNull(waiting, "waiting");
+      requireNonNull(lowerTier, "lowerTier");
+    }
+  }
+
+  /**
+   * Finds violations.
+   *
+   * @param events events of any kinds and processes; those of one process in the order in which
+   *     they happened
+   * @return violations in the order of the events
+   */
+  public static List<Violation> violations(List<Event> events) {
+    Map<String, Map<String, Tier>> waiting = new HashMap<>();
+    List<Violation> found = new ArrayList<>();
+    for (Event event : events) {
+      if (event.type() == EventType.REQUEST_QUEUED) {
+        queued(event, waiting.computeIfAbsent(scheduler(event), key -> new LinkedHashMap<>()));
+      } else if (event.type() == EventType.REQUEST_SHED) {
+        Map<String, Tier> others = waiting.getOrDefault(scheduler(event), new HashMap<>());
+        others.remove(event.subject());
+        check(event, others, found);
+      } else if (event.type() == EventType.PROCESS_STARTED) {
+        waiting.keySet().removeIf(key -> key.startsWith(event.process() + "/"));
+      } else if (event.type() == EventType.POOL_HANDED_OVER) {
+        waiting.keySet().removeIf(key -> key.startsWith(event.process() + "/" + event.subject()));
+      }
+    }
+    return found;
+  }
+
+  private static void queued(Event event, Map<String, Tier> waiting) {
+    if (DecisionEvents.WAITING.equals(event.details().get(DecisionEvents.STATE))) {
+      waiting.put(event.subject(), tier(event));
+    } else {
+      waiting.remove(event.subject());
+    }
+  }
+
+  private static void check(Event shed, Map<String, Tier> others, List<Violation> found) {
+    Tier tier = tier(shed);
+    others.forEach(
+        (request, other) -> {
+          if (tier.isHigherThan(other)) {
+            found.add(new Violation(shed, tier, request, other));
+          }
+        });
+  }
+
+  private static String scheduler(Event event) {
+    Map<String, Object> details = event.details();
+    return event.process()
+        + "/"
+        + details.get(DecisionEvents.POOL)
+        + "/"
+        + details.get(DecisionEvents.DOMAIN);
+  }
+
+  private static Tier tier(Event event) {
+    return Tier.of(((Number) event.details().get(DecisionEvents.TIER)).intValue());
+  }
+}
--- /dev/null
+++ b/snipewick/src/main/java/org/snipewick/request/DispatchFilter.java
@@ -0,0 +1,114 @@
+package org.snipewick.request;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.Collectors;
+import org.snipewick.endpoint.EngineCall;
+import org.snipewick.endpoint.ServiceCall;
+import org.snipewick.event.EventLog;
+import org.snipewick.event.EventType;
+import org.snipewick.failure.Failure;
+import org.snipewick.failure.FailureType;
+import org.snipewick.failure.Outcome;
+import org.snipewick.pool.PoolClient;
+import org.snipewick.pool.WorkEvent;
+import org.snipewick.time.TimerService;
+
+/** Dispatches a call to the endpoint that it was granted. */
+final class DispatchFilter implements Filter {
+  private static final int MAX_TRANSCRIPT_CHARACTERS = 256 * 1024;
+  private static final Set<String> PASSED_HEADERS = Set.of("content-type", "accept");
+
+  private final TimerService timer;
+  private final EventLog log;
+
+  private DispatchFilter(TimerService timer, EventLog log) {
+    this.timer = timer;
+    this.log = log;
+  }
+
+  static DispatchFilter of(TimerService timer, EventLog log) {
+    return new DispatchFilter(requireNonNull(timer, "timer"), requireNonNull(log, "log"));
+  }
+
+  @Override
+  public CompletableFuture<Answer> apply(CallContext context, Chain next) {
+    PoolClient.Permit permit = context.permit();
+    CallLifecycle lifecycle = context.lifecycle();
+    if (!lifecycle.beginDispatch()) {
+      return notDispatched(permit, abandonmentOf(lifecycle));
+    }
+    if (!permit.use()) {
+      lifecycle.retractDispatch();
+      return notDispatched(
+          permit, Failure.notRun(FailureType.ENDPOINT_REFUSED, "permission had lapsed"));
+    }
+    log.record(EventType.REQUEST_DISPATCHED, context.id().toString(), details(context));
+    return dispatch(context);
+  }
+
+  private CompletableFuture<Answer> dispatch(CallContext context) {
+    ActiveDispatch dispatch = ActiveDispatch.of(context, log);
+    if (context.target() instanceof Target.Model model) {
+      EngineCall call = engineCall(context);
+      return model.prompt().streamed()
+          ? StreamDispatch.toEngine(dispatch, call, streamFor(context), timer)
+          : WholeDispatch.toEngine(dispatch, call);
+    }
+    if (context.target().isAction()) {
+      context.lifecycle().outliveCaller();
+    }
+    return WholeDispatch.toService(
+        dispatch, serviceCall(context, (Target.Service) context.target()));
+  }
+
+  private static CompletableFuture<Answer> notDispatched(
+      PoolClient.Permit permit, Failure failure) {
+    permit.finish(WorkEvent.Result.NOT_DISPATCHED, 0);
+    return CompletableFuture.failedFuture(failure.toException());
+  }
+
+  private static Failure abandonmentOf(CallLifecycle lifecycle) {
+    Failure unexplained = Failure.notRun(FailureType.INTERNAL, "call cannot be dispatched");
+    return lifecycle.abandonment().getNow(unexplained).withOutcome(Outcome.NOT_RUN);
+  }
+
+  private static AnswerStream streamFor(CallContext context) {
+    return context.key().isPresent()
+        ? AnswerStream.withTranscript(MAX_TRANSCRIPT_CHARACTERS)
+        : AnswerStream.empty();
+  }
+
+  private static EngineCall engineCall(CallContext context) {
+    return new EngineCall(
+        context.id(), context.permit().endpoint(), context.key(), context.request().body());
+  }
+
+  private static ServiceCall serviceCall(CallContext context, Target.Service service) {
+    Map<String, String> headers =
+        context.request().headers().entrySet().stream()
+            .filter(header -> PASSED_HEADERS.contains(header.getKey()))
+            .collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue));
+    return new ServiceCall(
+        context.id(),
+        context.permit().endpoint(),
+        service.method(),
+        service.pathAndQuery(),
+        headers,
+        context.key(),
+        context.request().body(),
+        service.entry().maxBodyBytes());
+  }
+
+  private static Map<String, Object> details(CallContext context) {
+    String endpoint = context.permit().endpoint().id().toString();
+    Optional<String> key = context.key();
+    return key.isPresent()
+        ? Map.of("endpoint", endpoint, "tier", context.tier().number(), "key", key.get())
+        : Map.of("endpoint", endpoint, "tier", context.tier().number());
+  }
+}
--- /dev/null
+++ b/snipewick/src/main/java/org/snipewick/request/GateFilter.java
@@ -0,0 +1,36 @@
+package org.snipewick.request;
+
+import static java.util.Objects.requireNonNull;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import org.snipewick.failure.Failure;
+import org.snipewick.failure.FailureType;
+
+/** Counts calls in flight and refuses them late in a planned stop. */
+final class GateFilter implements Filter {
+  private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+
+  private final InFlight inFlight;
+
+  private GateFilter(InFlight inFlight) {
+    this.inFlight = inFlight;
+  }
+
+  static GateFilter of(InFlight inFlight) {
+    return new GateFilter(requireNonNull(inFlight, "inFlight"));
+  }
+
+  @Override
+  public CompletableFuture<Answer> apply(CallContext context, Chain next) {
+    if (!inFlight.tryEnter()) {
+      return CompletableFuture.failedFuture(
+          Failure.notRun(FailureType.STOPPING, "instance is stopping")
+              .withRetryAfter(RETRY_AFTER)
+              .toException());
+    }
+    CompletableFuture<Answer> answer = next.proceed(context);
+    Futures.whenDone(answer, (value, failure) -> Endings.whenDelivered(value, inFlight::exit));
+    return answer;
+  }
+}
--- /dev/null
+++ b/snipewick/src/main/java/org/snipewick/request/ProblemText.java
@@ -0,0 +1,34 @@
+package org.snipewick.request;
+
+import java.util.Map;
+import org.snipewick.failure.Failure;
+import org.snipewick.failure.Outcome;
+import org.snipewick.failure.ProblemDocument;
+
+/** Renders failures for callers, with the fate of the very call beside the outcome of its key. */
+public final class ProblemText {
+  private ProblemText() {}
+
+  /**
+   * Renders a failure as a problem document.
+   *
+   * @param failure failure
+   * @param dispatched whether the very call was dispatched
+   * @return JSON
+   */
+  public static String document(Failure failure, boolean dispatched) {
+    Outcome attempt = dispatched ? failure.outcome() : Outcome.NOT_RUN;
+    return ProblemDocument.of(failure, Map.of("attempt", attempt.text())).toJson();
+  }
+
+  /**
+   * Renders a failure as the last event of a stream.
+   *
+   * @param failure failure
+   * @param dispatched whether the very call was dispatched
+   * @return server-sent event of the type {@code error}
+   */
+  public static String event(Failure failure, boolean dispatched) {
+    return "event: error\ndata: " + document(failure, dispatched) + "\n\n";
+  }
+}
--- /dev/null
+++ b/snipewick/src/main/java/org/snipewick/request/QueryFilter.java
@@ -0,0 +1,143 @@
+package org.snipewick.request;
+
+import static java.util.Objects.requireNonNull;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.net.URLDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.snipewick.catalogue.CatalogueSource;
+import org.snipewick.catalogue.Entry;
+import org.snipewick.failure.Failure;
+import org.snipewick.failure.FailureType;
+import org.snipewick.idempotency.KeyState;
+import org.snipewick.idempotency.KeyedRequest;
+import org.snipewick.idempotency.RequestLedger;
+import org.snipewick.idempotency.StoredAnswer;
+
+/** Answers what this instance knows by itself: the outcome of a key, and the list of models. */
+final class QueryFilter implements Filter {
+  private static final ObjectMapper JSON = new ObjectMapper();
+  private static final String OUTCOMES_PATH = "/v1/outcomes/";
+  private static final String MODELS_PATH = "/v1/models";
+  private static final Set<String> METHODS = Set.of("GET", "HEAD");
+
+  private final CatalogueSource catalogue;
+  private final RequestLedger ledger;
+
+  private QueryFilter(CatalogueSource catalogue, RequestLedger ledger) {
+    this.catalogue = catalogue;
+    this.ledger = ledger;
+  }
+
+  static QueryFilter of(CatalogueSource catalogue, RequestLedger ledger) {
+    return new QueryFilter(
+        requireNonNull(catalogue, "catalogue"), requireNonNull(ledger, "ledger"));
+  }
+
+  /** Tells whether a request is answered here. */
+  static boolean handles(CallerRequest request) {
+    return request.path().startsWith(OUTCOMES_PATH) || request.path().equals(MODELS_PATH);
+  }
+
+  @Override
+  public CompletableFuture<Answer> apply(CallContext context, Chain next) {
+    CallerRequest request = context.request();
+    if (!METHODS.contains(request.method())) {
+      return CompletableFuture.failedFuture(
+          Failure.notRun(FailureType.METHOD_NOT_ALLOWED, "path takes GET and HEAD only")
+              .toException());
+    }
+    if (request.path().equals(MODELS_PATH)) {
+      return CompletableFuture.completedFuture(json(models()));
+    }
+    String key = keyOf(request.path().substring(OUTCOMES_PATH.length()));
+    return lookup(context, key).thenApply(state -> json(outcome(key, state)));
+  }
+
+  /** Decodes a key as it stands in a path; the outcome of any other key must not be told. */
+  private static String keyOf(String segment) {
+    try {
+      return CallerHeaders.checkKey(
+          URLDecoder.decode(segment.replace("+", "%2B"), StandardCharsets.UTF_8));
+    } catch (IllegalArgumentException malformed) {
+      throw Failure.notRun(FailureType.MALFORMED_REQUEST, "key is not encoded as in a URL")
+          .toException();
+    }
+  }
+
+  /** Asks for the key as that of a request, and then as that of an action. */
+  private CompletableFuture<KeyState> lookup(CallContext context, String key) {
+    CompletableFuture<KeyState> asked = ledger.lookup(keyed(context, key, false));
+    return Futures.andThen(
+        asked,
+        (state, failure) ->
+            failure != null || state instanceof KeyState.Fresh
+                ? lookupAction(context, key, asked)
+                : asked);
+  }
+
+  /** A key of which nothing is known as an action has the state of the request, or its failure. */
+  private CompletableFuture<KeyState> lookupAction(
+      CallContext context, String key, CompletableFuture<KeyState> asked) {
+    return ledger
+        .lookup(keyed(context, key, true))
+        .thenCompose(
+            state ->
+                state instanceof KeyState.Fresh ? asked : CompletableFuture.completedFuture(state));
+  }
+
+  private static KeyedRequest keyed(CallContext context, String key, boolean action) {
+    return new KeyedRequest(context.id(), context.team(), key, "", action);
+  }
+
+  private ObjectNode models() {
+    ObjectNode list = JSON.createObjectNode().put("object", "list");
+    ArrayNode data = list.putArray("data");
+    for (Entry.Model model : catalogue.current().all(Entry.Model.class)) {
+      data.addObject()
+          .put("id", model.name())
+          .put("object", "model")
+          .put("owned_by", model.owner());
+    }
+    return list;
+  }
+
+  private static ObjectNode outcome(String key, KeyState state) {
+    ObjectNode document = JSON.createObjectNode().put("key", key);
+    document.put("outcome", outcomeText(state));
+    if (state instanceof KeyState.Ran ran) {
+      StoredAnswer answer = ran.answer();
+      document
+          .putObject("answer")
+          .put("status", answer.status())
+          .put("contentType", answer.contentType())
+          .put("body", answer.body());
+    }
+    return document;
+  }
+
+  private static String outcomeText(KeyState state) {
+    if (state instanceof KeyState.Fresh) {
+      return "not-run";
+    }
+    if (state instanceof KeyState.Ran || state instanceof KeyState.RanWithoutAnswer) {
+      return "ran";
+    }
+    return state instanceof KeyState.InProgress ? "in-progress" : "unknown";
+  }
+
+  private static Answer json(JsonNode document) {
+    try {
+      byte[] body = JSON.writeValueAsString(document).getBytes(StandardCharsets.UTF_8);
+      return Answer.whole(200, "application/json", body, 0);
+    } catch (JsonProcessingException impossible) {
+      throw new IllegalStateException("a tree of strings can be written", impossible);
+    }
+  }
+}
--- /dev/null
+++ b/snipewick/src/main/java/org/snipewick/request/RequestPath.java
@@ -0,0 +1,61 @@
+package org.snipewick.request;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+/** The path of callers' requests through all filters. */
+public final class RequestPath {
+  private final Chain calls;
+  private final Chain queries;
+
+  private RequestPath(Chain calls, Chain queries) {
+    this.calls = calls;
+    this.queries = queries;
+  }
+
+  /**
+   * Returns the path.
+   *
+   * @param services other parts of the instance
+   * @param inFlight counter of the calls in flight
+   * @return path
+   */
+  public static RequestPath of(RequestServices services, InFlight inFlight) {
+    requireNonNull(services, "services");
+    requireNonNull(inFlight, "inFlight");
+    AuthenticateFilter authenticate = AuthenticateFilter.of(TeamIndex.of(services.catalogue()));
+    return new RequestPath(
+        Chain.ofAll(callFilters(services, inFlight, authenticate)),
+        Chain.ofAll(
+            List.of(authenticate, QueryFilter.of(services.catalogue(), services.ledger()))));
+  }
+
+  /**
+   * Serves a call.
+   *
+   * @param context call as it was received
+   * @return answer; fails with a {@link org.snipewick.failure.FailureException}
+   */
+  public CompletableFuture<Answer> serve(CallContext context) {
+    requireNonNull(context, "context");
+    Chain chain = QueryFilter.handles(context.request()) ? queries : calls;
+    return chain.proceed(context);
+  }
+
+  private static List<Filter> callFilters(
+      RequestServices services, InFlight inFlight, AuthenticateFilter authenticate) {
+    RequestMetrics metrics = RequestMetrics.of(services.metrics(), inFlight);
+    return List.of(
+        DeliverFilter.of(metrics, services.timer(), services.log()),
+        GateFilter.of(inFlight),
+        authenticate,
+        IdentifyFilter.of(services.catalogue()),
+        AgreementFilter.of(services.timer()),
+        LimitsFilter.of(services.limits()),
+        ClaimFilter.of(services.ledger(), services.timer(), services.log()),
+        AdmitFilter.of(services.pool(), RetryBudget.create(), services.timer(), services.log()),
+        DispatchFilter.of(services.timer(), services.log()));
+  }
+}
--- /dev/null
+++ b/snipewick/src/main/java/org/snipewick/request/http/CallerServlet.java
@@ -0,0 +1,184 @@
+package org.snipewick.request.http;
+
+import io.activej.bytebuf.ByteBuf;
+import io.activej.http.AsyncServlet;
+import io.activej.http.HttpHeader;
+import io.activej.http.HttpHeaderValue;
+import io.activej.http.HttpHeaders;
+import io.activej.http.HttpMethod;
+import io.activej.http.HttpRequest;
+import io.activej.http.HttpResponse;
+import io.activej.http.HttpServerConnection;
+import io.activej.promise.Promise;
+import io.activej.promise.Promises;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import org.snipewick.endpoint.EndpointClients;
+import org.snipewick.event.EventLog;
+import org.snipewick.event.EventType;
+import org.snipewick.failure.Failure;
+import org.snipewick.failure.FailureException;
+import org.snipewick.failure.FailureType;
+import org.snipewick.identity.RequestId;
+import org.snipewick.request.Answer;
+import org.snipewick.request.CallContext;
+import org.snipewick.request.CallerRequest;
+import org.snipewick.request.InFlight;
+import org.snipewick.request.RequestPath;
+import org.snipewick.request.RetryAdvice;
+import org.snipewick.time.TimerService;
+
+/** Turns HTTP requests into calls, and answers into HTTP responses, on one event loop. */
+final class CallerServlet implements AsyncServlet {
+  private static final String HEALTH_PATH = "/health";
+  private static final Failure NO_TUNNELS =
+      Failure.notRun(FailureType.METHOD_NOT_ALLOWED, "no tunnels are offered");
+
+  private final CallerServerSettings settings;
+  private final RequestPath path;
+  private final InFlight inFlight;
+  private final EndpointClients clients;
+  private final CallerConnections connections;
+  private final TimerService timer;
+  private final EventLog log;
+  private final Supplier<RequestId> identifiers;
+
+  CallerServlet(CallerServer.Parts parts, EndpointClients clients, CallerConnections connections) {
+    this.settings = parts.settings();
+    this.path = parts.path();
+    this.inFlight = parts.inFlight();
+    this.timer = parts.timer();
+    this.log = parts.log();
+    this.identifiers = parts.identifiers();
+    this.clients = clients;
+    this.connections = connections;
+  }
+
+  @Override
+  public Promise<HttpResponse> serve(HttpRequest request) {
+    Promise<HttpResponse> response = answer(request);
+    return request.getMethod() == HttpMethod.HEAD
+        ? response.map(whole -> whole.withBody(ByteBuf.empty()))
+        : response;
+  }
+
+  private Promise<HttpResponse> answer(HttpRequest request) {
+    if (request.getPath().equals(HEALTH_PATH)) {
+      return Promise.of(Responses.health(inFlight.isHealthy()));
+    }
+    if (request.getMethod() == HttpMethod.CONNECT) {
+      return Promise.of(refuse(NO_TUNNELS));
+    }
+    long receivedNanos = timer.nanoTime();
+    if (announcedLength(request) > settings.maxBodyBytes()) {
+      return Promise.of(refuse(tooLarge()));
+    }
+    return Promises.timeout(settings.bodyTimeout(), request.loadBody(settings.maxBodyBytes()))
+        .then(
+            body -> serveLoaded(request, body, receivedNanos),
+            thrown -> Promise.of(refuse(bodyFailure(thrown))));
+  }
+
+  private Promise<HttpResponse> serveLoaded(HttpRequest request, ByteBuf body, long receivedNanos) {
+    if (body.readRemaining() > settings.maxBodyBytes()) {
+      return Promise.of(refuse(tooLarge()));
+    }
+    CallerRequest received =
+        new CallerRequest(
+            request.getMethod().name(),
+            request.getPathAndQuery(),
+            headersOf(request),
+            body.getArray());
+    CallContext context = CallContext.of(identifiers.get(), received, receivedNanos, clients);
+    HttpServerConnection connection = request.getConnection();
+    connections.begin(connection, () -> callerLeft(context));
+    CompletableFuture<HttpResponse> response =
+        path.serve(context)
+            .handle((answer, thrown) -> respond(context, connection, answer, thrown));
+    return Promise.ofCompletionStage(response)
+        .whenComplete((value, thrown) -> endUnlessStreamed(connection, value));
+  }
+
+  private HttpResponse respond(
+      CallContext context, HttpServerConnection connection, Answer answer, Throwable thrown) {
+    if (thrown != null) {
+      return problem(context, FailureException.unwrap(thrown));
+    }
+    if (answer instanceof Answer.Streamed streamed) {
+      StreamBody body =
+          new StreamBody(
+              streamed.events(),
+              () -> connections.end(connection, timer.nanoTime()),
+              () -> callerLeft(context));
+      return Responses.streamed(context.id(), body);
+    }
+    return Responses.whole(context.id(), (Answer.Whole) answer);
+  }
+
+  private static HttpResponse problem(CallContext context, Failure failure) {
+    HttpResponse response =
+        Responses.problem(
+            Optional.of(context.id()),
+            RetryAdvice.complete(failure),
+            context.lifecycle().isDispatched());
+    return failure.type() == FailureType.METHOD_NOT_ALLOWED
+        ? Responses.withAllowed(response, context.request().path())
+        : response;
+  }
+
+  private void endUnlessStreamed(HttpServerConnection connection, HttpResponse response) {
+    if (response == null || response.isBodyLoaded()) {
+      connections.end(connection, timer.nanoTime());
+    }
+  }
+
+  private void callerLeft(CallContext context) {
+    if (!context.lifecycle().isCallerGone()) {
+      log.record(EventType.CALLER_LEFT, context.id().toString());
+    }
+    context.lifecycle().callerLeft();
+  }
+
+  private HttpResponse refuse(Failure failure) {
+    return Responses.problem(Optional.empty(), failure, false);
+  }
+
+  private Failure bodyFailure(Exception thrown) {
+    if (thrown instanceof io.activej.async.exception.AsyncTimeoutException) {
+      return Failure.notRun(
+          FailureType.MALFORMED_REQUEST,
+          "body did not arrive within " + settings.bodyTimeout().toMillis() + " ms");
+    }
+    String text = String.valueOf(thrown.getMessage()).toLowerCase(Locale.ROOT);
+    return text.contains("size") || text.contains("exceed")
+        ? tooLarge()
+        : Failure.notRun(FailureType.MALFORMED_REQUEST, "body could not be read");
+  }
+
+  private Failure tooLarge() {
+    return Failure.notRun(
+        FailureType.REQUEST_TOO_LARGE, "body exceeds " + settings.maxBodyBytes() + " bytes");
+  }
+
+  private static long announcedLength(HttpRequest request) {
+    String length = request.getHeader(HttpHeaders.CONTENT_LENGTH);
+    try {
+      return length == null ? 0 : Long.parseLong(length.trim());
+    } catch (NumberFormatException malformed) {
+      return 0;
+    }
+  }
+
+  private static Map<String, String> headersOf(HttpRequest request) {
+    Map<String, String> headers = new HashMap<>();
+    for (Map.Entry<HttpHeader, HttpHeaderValue> header : request.getHeaders()) {
+      headers.putIfAbsent(
+          header.getKey().toString().toLowerCase(Locale.ROOT), header.getValue().toString());
+    }
+    return headers;
+  }
+}
--- /dev/null
+++ b/snipewick/src/main/java/org/snipewick/request/http/package-info.java
@@ -0,0 +1,2 @@
+/** The callers' HTTP front. */
+package org.snipewick.request.http;
--- /dev/null
+++ b/snipewick/src/main/java/org/snipewick/settings/SettingsReader.java
@@ -0,0 +1,150 @@
+package org.snipewick.settings;
+
+import static java.util.Objects.requireNonNull;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.dataformat.yaml.YAMLFactory;
+import com.fasterxml.jackson.module.paramnames.ParameterNamesModule;
+import com.networknt.schema.Error;
+import com.networknt.schema.InputFormat;
+import com.networknt.schema.Schema;
+import com.networknt.schema.SchemaRegistry;
+import com.networknt.schema.SpecificationVersion;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Comparator;
+import java.util.List;
+import java.util.stream.Stream;
+import java.util.stream.StreamSupport;
+import org.yaml.snakeyaml.error.MarkedYAMLException;
+
+/** Reads settings files and names everything that is wrong with one at once. */
+public final class SettingsReader {
+  private static final String SCHEMA = "settings.schema.json";
+  private static final String HOST_PATTERN = "/$defs/host/pattern";
+
+  private final ObjectMapper mapper =
+      new ObjectMapper(new YAMLFactory()).registerModule(new ParameterNamesModule());
+  private final Schema schema;
+
+  private SettingsReader(Schema schema) {
+    this.schema = schema;
+  }
+
+  /**
+   * Creates a reader.
+   *
+   * @return reader
+   */
+  public static SettingsReader of() {
+    try (InputStream stream = SettingsReader.class.getResourceAsStream(SCHEMA)) {
+      SchemaRegistry registry =
+          SchemaRegistry.withDefaultDialect(SpecificationVersion.DRAFT_2020_12);
+      return new SettingsReader(
+          registry.getSchema(requireNonNull(stream, SCHEMA), InputFormat.JSON));
+    } catch (IOException failure) {
+      throw new UncheckedIOException(failure);
+    }
+  }
+
+  /**
+   * Reads a file.
+   *
+   * @param file YAML file
+   * @return settings, or everything that is wrong
+   */
+  public SettingsResult read(Path file) {
+    requireNonNull(file, "file");
+    try {
+      return parse(file.toString(), Files.readString(file));
+    } catch (IOException failure) {
+      return invalid(file.toString(), 0, "cannot be read: " + failure);
+    }
+  }
+
+  /**
+   * Reads settings from text.
+   *
+   * @param name name of the file in messages
+   * @param text YAML
+   * @return settings, or everything that is wrong
+   */
+  public SettingsResult parse(String name, String text) {
+    YamlLines lines;
+    JsonNode tree;
+    try {
+      lines = YamlLines.of(text);
+      tree = mapper.readTree(text);
+    } catch (MarkedYAMLException failure) {
+      int line = failure.getProblemMark() == null ? 0 : failure.getProblemMark().getLine() + 1;
+      return invalid(name, line, failure.getProblem());
+    } catch (JsonProcessingException failure) {
+      return invalid(name, failure.getLocation().getLineNr(), failure.getOriginalMessage());
+    }
+    return validate(name, tree, lines);
+  }
+
+  private SettingsResult validate(String name, JsonNode tree, YamlLines lines) {
+    List<SettingsFault> faults =
+        Stream.of(schemaFaults(tree, lines), lines.duplicates(), domainFaults(tree, lines))
+            .flatMap(List::stream)
+            .sorted(
+                Comparator.comparingInt(SettingsFault::line)
+                    .thenComparing(SettingsFault::path)
+                    .thenComparing(SettingsFault::message))
+            .toList();
+    if (!faults.isEmpty()) {
+      return new SettingsResult.Invalid(name, faults);
+    }
+    try {
+      return new SettingsResult.Valid(mapper.treeToValue(tree, Settings.class));
+    } catch (JsonProcessingException failure) {
+      return invalid(name, 0, failure.getOriginalMessage());
+    }
+  }
+
+  private List<SettingsFault> schemaFaults(JsonNode tree, YamlLines lines) {
+    return schema.validate(tree).stream().map(error -> fault(error, lines)).toList();
+  }
+
+  /** The schema cannot say that the own failure domain must be among all of them. */
+  private static List<SettingsFault> domainFaults(JsonNode tree, YamlLines lines) {
+    String own = tree.path("failureDomain").asText();
+    JsonNode all = tree.path("failureDomains");
+    if (own.isEmpty() || !all.isArray() || all.isEmpty() || contains(all, own)) {
+      return List.of();
+    }
+    String path = "/failureDomains";
+    return List.of(new SettingsFault(lines.line(path), path, "must contain " + own));
+  }
+
+  private static boolean contains(JsonNode array, String text) {
+    return StreamSupport.stream(array.spliterator(), false)
+        .anyMatch(item -> item.asText().equals(text));
+  }
+
+  private static SettingsFault fault(Error error, YamlLines lines) {
+    StringBuilder pointer = new StringBuilder();
+    for (int index = 0; index < error.getInstanceLocation().getNameCount(); index++) {
+      pointer.append('/').append(error.getInstanceLocation().getName(index));
+    }
+    boolean unknownKey = "additionalProperties".equals(error.getKeyword());
+    String path = unknownKey ? pointer + "/" + error.getProperty() : pointer.toString();
+    String message = unknownKey ? "unknown key" : messageOf(error);
+    return new SettingsFault(lines.line(path), path, message);
+  }
+
+  private static String messageOf(Error error) {
+    String schemaPath = String.valueOf(error.getSchemaLocation());
+    return schemaPath.endsWith(HOST_PATTERN) ? "must be an IP address" : error.getMessage();
+  }
+
+  private static SettingsResult invalid(String name, int line, String message) {
+    return new SettingsResult.Invalid(name, List.of(new SettingsFault(line, "", message)));
+  }
+}
--- /dev/null
+++ b/snipewick/src/main/java/org/snipewick/time/SystemTimerService.java
@@ -0,0 +1,82 @@
+package org.snipewick.time;
+
+import static java.util.Objects.requireNonNull;
+import static java.util.concurrent.TimeUnit.NANOSECONDS;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.concurrent.Future;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+
+/** Timer service on the system clocks; tasks run one at a time on a single daemon thread. */
+public final class SystemTimerService implements TimerService, AutoCloseable {
+  private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+  private final ScheduledThreadPoolExecutor executor;
+  private final TimerGrid grid = TimerGrid.ofSystemClock();
+
+  private SystemTimerService(ScheduledThreadPoolExecutor executor) {
+    this.executor = executor;
+  }
+
+  /**
+   * Creates a timer service with its own thread.
+   *
+   * @param threadName name of the thread
+   * @return running timer service
+   */
+  public static SystemTimerService of(String threadName) {
+    requireNonNull(threadName, "threadName");
+    ScheduledThreadPoolExecutor executor =
+        new ScheduledThreadPoolExecutor(
+            1,
+            task -> {
+              Thread thread = new Thread(task, threadName);
+              thread.setDaemon(true);
+              return thread;
+            });
+    executor.setRemoveOnCancelPolicy(true);
+    return new SystemTimerService(executor);
+  }
+
+  @Override
+  public long nanoTime() {
+    return System.nanoTime();
+  }
+
+  @Override
+  public long epochMillis() {
+    return System.currentTimeMillis();
+  }
+
+  @Override
+  public Subscription after(Duration delay, Runnable task) {
+    Future<?> future = executor.schedule(guarded(task), delay.toNanos(), NANOSECONDS);
+    return () -> future.cancel(false);
+  }
+
+  @Override
+  public Subscription every(Duration period, Runnable task) {
+    long nanos = period.toNanos();
+    Runnable guarded = guarded(task);
+    long first = grid.firstDelayNanos(System.nanoTime(), nanos);
+    Future<?> future = executor.scheduleAtFixedRate(guarded, first, nanos, NANOSECONDS);
+    return () -> future.cancel(false);
+  }
+
+  @Override
+  public void close() {
+    executor.shutdownNow();
+  }
+
+  private static Runnable guarded(Runnable task) {
+    requireNonNull(task, "task");
+    return () -> {
+      try {
+        task.run();
+      } catch (RuntimeException failure) {
+        LOGGER.atSevere().withCause(failure).log("Timer task failed");
+      }
+    };
+  }
+}
--- /dev/null
+++ b/snipewick/src/main/java/org/snipewick/time/TimerService.java
@@ -0,0 +1,47 @@
+package org.snipewick.time;
+
+import java.time.Duration;
+
+/** Source of time and of timed callbacks; decisions take time only from here. */
+public interface TimerService {
+
+  /**
+   * Returns the monotonic clock.
+   *
+   * @return nanoseconds since an arbitrary origin, never decreasing
+   */
+  long nanoTime();
+
+  /**
+   * Returns the wall clock.
+   *
+   * @return milliseconds since the Unix epoch
+   */
+  long epochMillis();
+
+  /**
+   * Runs a task once after a delay.
+   *
+   * @param delay time from now, not negative
+   * @param task what to run
+   * @return handle that cancels the task if it has not run yet
+   */
+  Subscription after(Duration delay, Runnable task);
+
+  /**
+   * Runs a task repeatedly with a fixed period; the first run is at most one period from now.
+   *
+   * @param period time between runs, positive
+   * @param task what to run
+   * @return handle that ends the repetition
+   */
+  Subscription every(Duration period, Runnable task);
+
+  /** Handle of a scheduled task. */
+  @FunctionalInterface
+  interface Subscription {
+
+    /** Ends the subscription; calling it again has no effect. */
+    void cancel();
+  }
+}
--- /dev/null
+++ b/snipewick/src/main/java/org/snipewick/writer/WriterMessages.java
@@ -0,0 +1,175 @@
+package org.snipewick.writer;
+
+import static java.util.Objects.requireNonNull;
+
+import com.fasterxml.jackson.annotation.JsonFormat;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.snipewick.peer.PeerMessage;
+import org.snipewick.platform.Row;
+import org.snipewick.platform.Write;
+import org.snipewick.platform.WriteResult;
+
+/** Messages between the instances of a failure domain and its writer. */
+public final class WriterMessages {
+  /** Message types by their stable names. */
+  public static final Map<String, Class<? extends PeerMessage>> MESSAGE_TYPES =
+      Map.of("wb", Batch.class, "wr", Results.class, "wn", NotWriter.class);
+
+  private WriterMessages() {}
+
+  /**
+   * Instance to writer: writes to be sent to the platform.
+   *
+   * @param operations writes, each under its own condition
+   */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  record Batch(List<Operation> operations) implements PeerMessage {
+
+    Batch {
+      operations = List.copyOf(operations);
+    }
+  }
+
+  /**
+   * Answer of the writer.
+   *
+   * @param answers one answer for each write, in order
+   */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  record Results(List<Answer> answers) implements PeerMessage {
+
+    Results {
+      answers = List.copyOf(answers);
+    }
+  }
+
+  /** Answer of an instance that may not act as writer; no write of the batch was sent. */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  record NotWriter() implements PeerMessage {}
+
+  /**
+   * One conditional write.
+   *
+   * @param kind what is done with the row
+   * @param key key of the row
+   * @param version version that the row must have, 0 for an insertion
+   * @param value content, empty for a removal
+   */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  record Operation(Kind kind, String key, long version, String value) {
+
+    Operation {
+      requireNonNull(kind, "kind");
+      requireNonNull(key, "key");
+      requireNonNull(value, "value");
+    }
+
+    static Operation of(Write write) {
+      if (write instanceof Write.Insert insert) {
+        return new Operation(Kind.INSERT, insert.key(), 0, insert.value());
+      }
+      if (write instanceof Write.Replace replace) {
+        return new Operation(Kind.REPLACE, replace.key(), replace.version(), replace.value());
+      }
+      Write.Delete delete = (Write.Delete) write;
+      return new Operation(Kind.DELETE, delete.key(), delete.version(), "");
+    }
+
+    Write toWrite() {
+      return switch (kind) {
+        case INSERT -> Write.insert(key, value);
+        case REPLACE -> Write.replace(key, version, value);
+        case DELETE -> Write.delete(key, version);
+      };
+    }
+  }
+
+  /**
+   * What became of one write.
+   *
+   * @param outcome kind of result
+   * @param version version of the row after a write that was applied, otherwise 0
+   * @param current the row that was in conflict, if it exists
+   * @param detail what happened to a write without a clear result, otherwise empty
+   */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  record Answer(Outcome outcome, long version, Optional<Current> current, String detail) {
+
+    Answer {
+      requireNonNull(outcome, "outcome");
+      requireNonNull(current, "current");
+      requireNonNull(detail, "detail");
+    }
+
+    static Answer of(WriteResult result) {
+      if (result instanceof WriteResult.Applied applied) {
+        return new Answer(Outcome.APPLIED, applied.version(), Optional.empty(), "");
+      }
+      if (result instanceof WriteResult.Conflict conflict) {
+        return new Answer(Outcome.CONFLICT, 0, conflict.current().map(Current::of), "");
+      }
+      if (result instanceof WriteResult.Rejected rejected) {
+        return new Answer(Outcome.REJECTED, 0, Optional.empty(), rejected.detail());
+      }
+      WriteResult.Ambiguous ambiguous = (WriteResult.Ambiguous) result;
+      return new Answer(Outcome.AMBIGUOUS, 0, Optional.empty(), ambiguous.detail());
+    }
+
+    WriteResult toResult(String key) {
+      return switch (outcome) {
+        case APPLIED -> new WriteResult.Applied(version);
+        case CONFLICT -> new WriteResult.Conflict(current.map(row -> row.toRow(key)));
+        case REJECTED -> new WriteResult.Rejected(detail);
+        case AMBIGUOUS -> new WriteResult.Ambiguous(detail);
+      };
+    }
+  }
+
+  /**
+   * Row whose key the receiver knows.
+   *
+   * @param version version of the row
+   * @param value content
+   */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  record Current(long version, String value) {
+
+    Current {
+      requireNonNull(value, "value");
+    }
+
+    static Current of(Row row) {
+      return new Current(row.version(), row.value());
+    }
+
+    Row toRow(String key) {
+      return new Row(key, version, value);
+    }
+  }
+
+  /** What is done with a row. */
+  @JsonFormat(shape = JsonFormat.Shape.NUMBER)
+  enum Kind {
+    /** Inserted if absent. */
+    INSERT,
+    /** Replaced if it has the version. */
+    REPLACE,
+    /** Removed if it has the version. */
+    DELETE
+  }
+
+  /** Kind of result. */
+  @JsonFormat(shape = JsonFormat.Shape.NUMBER)
+  enum Outcome {
+    /** The write took effect. */
+    APPLIED,
+    /** The condition did not hold. */
+    CONFLICT,
+    /** The write surely took no effect. */
+    REJECTED,
+    /** The platform's answer was lost. */
+    AMBIGUOUS
+  }
+}
--- /dev/null
+++ b/snipewick/src/test/java/org/snipewick/catalogue/CataloguePropertyTest.java
@@ -0,0 +1,106 @@
+package org.snipewick.catalogue;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.ShrinkingMode;
+import org.snipewick.platform.InMemoryTable;
+
+class CataloguePropertyTest {
+  private static final List<String> NAMES = List.of("wien.1", "wien.2", "linz.1");
+
+  enum Kind {
+    SUBMIT,
+    LOSE_ANSWERS,
+    LOSE_WRITES,
+    OUTAGE,
+    PLATFORM_BACK,
+    STALE_READS,
+    FRESH_READS,
+    RESTART,
+    CUT,
+    HEAL
+  }
+
+  record Step(Kind kind, String name, int millis) {}
+
+  @Provide
+  Arbitrary<List<Step>> steps() {
+    return Combinators.combine(
+            Arbitraries.of(Kind.class),
+            Arbitraries.of(NAMES),
+            Arbitraries.integers().between(1, 3_000))
+        .as(Step::new)
+        .list()
+        .ofMinSize(2)
+        .ofMaxSize(14);
+  }
+
+  @Property(tries = 40, seed = "43", shrinking = ShrinkingMode.BOUNDED)
+  void shouldOnlyMoveToHigherVersionsAndAgreeWhenFaultsEnd(@ForAll("steps") List<Step> steps) {
+    Catalogues catalogues = new Catalogues(9).start(NAMES.toArray(String[]::new));
+    Map<CatalogueController, Long> seen = new HashMap<>();
+    Map<Long, Catalogue> byVersion = new HashMap<>();
+    for (Step step : steps) {
+      apply(catalogues, step);
+      for (int slice = 0; slice < 10; slice++) {
+        catalogues.advance(Duration.ofMillis(step.millis() / 10 + 1));
+        check(catalogues, seen, byVersion);
+      }
+    }
+    catalogues.table.fault(InMemoryTable.Fault.NONE);
+    catalogues.cluster.heal("wien", "linz");
+    NAMES.forEach(name -> catalogues.tableOf(name).staleReads(false));
+    catalogues.advance(Duration.ofSeconds(20));
+    check(catalogues, seen, byVersion);
+    Catalogue first = catalogues.on(NAMES.get(0)).current();
+    for (String name : NAMES) {
+      assertThat(catalogues.on(name).current()).as(name).isEqualTo(first);
+    }
+    assertThat(catalogues.table.peek(ChangeTable.key(first.version() + 1))).isEmpty();
+  }
+
+  private static void check(
+      Catalogues catalogues, Map<CatalogueController, Long> seen, Map<Long, Catalogue> byVersion) {
+    for (String name : NAMES) {
+      CatalogueController controller = catalogues.on(name);
+      Catalogue current = controller.current();
+      assertThat(current.version()).isGreaterThanOrEqualTo(seen.getOrDefault(controller, 0L));
+      seen.put(controller, current.version());
+      Catalogue other = byVersion.putIfAbsent(current.version(), current);
+      assertThat(other == null || other.equals(current))
+          .as("one content for version " + current.version())
+          .isTrue();
+    }
+  }
+
+  private static void apply(Catalogues catalogues, Step step) {
+    switch (step.kind()) {
+      case SUBMIT -> {
+        var ignored =
+            catalogues.submit(step.name(), Catalogues.putModel(step.name() + step.millis()));
+      }
+      case LOSE_ANSWERS -> catalogues.table.fault(InMemoryTable.Fault.LOST_ANSWER);
+      case LOSE_WRITES -> catalogues.table.fault(InMemoryTable.Fault.LOST_WRITE);
+      case OUTAGE -> catalogues.table.fault(InMemoryTable.Fault.OUTAGE);
+      case PLATFORM_BACK -> catalogues.table.fault(InMemoryTable.Fault.NONE);
+      case STALE_READS -> catalogues.tableOf(step.name()).staleReads(true);
+      case FRESH_READS -> catalogues.tableOf(step.name()).staleReads(false);
+      case RESTART -> {
+        catalogues.cluster.crash(step.name());
+        catalogues.cluster.start(step.name());
+      }
+      case CUT -> catalogues.cluster.cut("wien", "linz");
+      default -> catalogues.cluster.heal("wien", "linz");
+    }
+  }
+}
--- /dev/null
+++ b/snipewick/src/test/java/org/snipewick/catalogue/FaultyTable.java
@@ -0,0 +1,62 @@
+package org.snipewick.catalogue;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.snipewick.failure.Failure;
+import org.snipewick.failure.FailureType;
+import org.snipewick.platform.InMemoryTable;
+import org.snipewick.platform.Row;
+import org.snipewick.platform.Table;
+import org.snipewick.platform.Write;
+import org.snipewick.platform.WriteResult;
+
+/** One instance's way to the shared table, with stale reads, cuts and failing writes. */
+final class FaultyTable implements Table {
+  private final InMemoryTable shared;
+  private boolean readsStale;
+  private boolean cut;
+  private long reads;
+
+  FaultyTable(InMemoryTable shared) {
+    this.shared = shared;
+  }
+
+  /** Answers as if no row were there yet, as a copy that lags does. */
+  void staleReads(boolean on) {
+    readsStale = on;
+  }
+
+  void cut(boolean on) {
+    cut = on;
+  }
+
+  long reads() {
+    return reads;
+  }
+
+  @Override
+  public CompletableFuture<Optional<Row>> read(String key) {
+    reads++;
+    if (cut) {
+      return CompletableFuture.failedFuture(
+          Failure.notRun(FailureType.PLATFORM_UNAVAILABLE, "cut").toException());
+    }
+    if (readsStale) {
+      return CompletableFuture.completedFuture(Optional.empty());
+    }
+    return shared.read(key);
+  }
+
+  @Override
+  public CompletableFuture<List<Row>> scan(String prefix) {
+    return shared.scan(prefix);
+  }
+
+  @Override
+  public CompletableFuture<WriteResult> write(Write write) {
+    return cut
+        ? CompletableFuture.completedFuture(new WriteResult.Rejected("cut"))
+        : shared.write(write);
+  }
+}
--- /dev/null
+++ b/snipewick/src/test/java/org/snipewick/discovery/EndpointStatusesTest.java
@@ -0,0 +1,148 @@
+package org.snipewick.discovery;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.snipewick.catalogue.Catalogue;
+import org.snipewick.catalogue.CatalogueSource;
+import org.snipewick.endpoint.LoadReport;
+import org.snipewick.identity.EndpointId;
+import org.snipewick.identity.FailureDomain;
+import org.snipewick.identity.InstanceId;
+import org.snipewick.identity.PoolName;
+import org.snipewick.membership.SettableMembership;
+import org.snipewick.peer.InMemoryPeers;
+import org.snipewick.platform.ListedInstance;
+import org.snipewick.pool.EndpointStatus;
+import org.snipewick.time.VirtualTimerService;
+
+class EndpointStatusesTest {
+  private static final Duration SECOND = Duration.ofSeconds(1);
+  private static final int ENDPOINTS = 30;
+
+  private final VirtualTimerService timer = VirtualTimerService.of(1_000);
+  private final SettableMembership membership =
+      new SettableMembership(SettableMembership.viewOf("a.1", "a.1"));
+  private final InMemoryPeers peers = new InMemoryPeers(timer, Duration.ofMillis(1));
+  private final EndpointDirectory directory =
+      EndpointDirectory.start(
+          membership,
+          () -> CompletableFuture.completedFuture(listed()),
+          peers.join(InstanceId.of("a.1")),
+          timer);
+  private final List<EndpointStatus> changes = new ArrayList<>();
+  private final EndpointStatuses statuses =
+      EndpointStatuses.start(membership, new NoEntries(), directory, new Recorder(), timer);
+
+  @BeforeEach
+  void learnList() {
+    timer.advance(SECOND.multipliedBy(2));
+    assertThat(statuses.current()).hasSize(ENDPOINTS);
+    changes.clear();
+  }
+
+  @Test
+  void shouldTellOnlyThatEndpointWhenOneReports() {
+    report("engine-3", "leaving", 1);
+
+    assertThat(changes).hasSize(1);
+    assertThat(changes.get(0).id()).isEqualTo(EndpointId.of("engine-3"));
+    assertThat(changes.get(0).state()).isEqualTo(EndpointStatus.State.LEAVING);
+  }
+
+  @Test
+  void shouldTellNothingWhenReportIsLikeTheLast() {
+    report("engine-3", "live", 1);
+    report("engine-3", "live", 1);
+    assertThat(changes).hasSize(1);
+
+    report("engine-3", "live", 2);
+    assertThat(changes).hasSize(2);
+  }
+
+  @Test
+  void shouldTellAgainWhenSchedulerCameBackMeanwhile() {
+    report("engine-3", "leaving", 1);
+    membership.change(SettableMembership.viewOf("a.1", others()));
+    timer.advance(SECOND);
+    assertThat(statuses.current()).isEmpty();
+    membership.change(SettableMembership.viewOf("a.1", "a.1"));
+    timer.advance(SECOND);
+    changes.clear();
+
+    report("engine-3", "leaving", 1);
+
+    assertThat(changes)
+        .extracting(EndpointStatus::state)
+        .containsOnly(EndpointStatus.State.LEAVING);
+  }
+
+  @Test
+  void shouldFindEndpointInItsOwnPoolOnly() {
+    EndpointId id = EndpointId.of("engine-3");
+
+    assertThat(statuses.find(PoolName.of("planner"), id)).isPresent();
+    assertThat(statuses.find(PoolName.of("another"), id)).isEmpty();
+  }
+
+  /** Lists so many members that another one than a.1 schedules the pool. */
+  private static String[] others() {
+    return IntStream.rangeClosed(1, 30).mapToObj(number -> "a." + number).toArray(String[]::new);
+  }
+
+  private void report(String id, String state, int running) {
+    EndpointStatus known =
+        statuses.current().stream()
+            .filter(status -> status.id().equals(EndpointId.of(id)))
+            .findFirst()
+            .orElseThrow();
+    statuses.report(new LoadReport(state, running, 0, -1, 0, 0, 0).applyTo(known));
+    timer.advance(Duration.ofMillis(1));
+  }
+
+  private static List<ListedInstance> listed() {
+    return IntStream.range(0, ENDPOINTS)
+        .mapToObj(
+            number ->
+                new ListedInstance(
+                    "engine-" + number,
+                    ListedInstance.Kind.ENGINE,
+                    FailureDomain.of("a"),
+                    "127.0.0.1",
+                    1,
+                    "planner",
+                    ListedInstance.State.LIVE))
+        .toList();
+  }
+
+  private final class Recorder implements EndpointSink {
+    @Override
+    public void changed(PoolName pool, EndpointStatus status) {
+      changes.add(status);
+    }
+
+    @Override
+    public void removed(PoolName pool, EndpointId endpoint) {
+      throw new AssertionError("nothing is removed here: " + endpoint);
+    }
+  }
+
+  private static final class NoEntries implements CatalogueSource {
+    @Override
+    public Catalogue current() {
+      return Catalogue.empty();
+    }
+
+    @Override
+    public void subscribe(Consumer<Catalogue> listener) {
+      listener.accept(Catalogue.empty());
+    }
+  }
+}
--- /dev/null
+++ b/snipewick/src/test/java/org/snipewick/endpoint/LoadReportsTest.java
@@ -0,0 +1,127 @@
+package org.snipewick.endpoint;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.snipewick.endpoint.http.FakeEndpoint;
+import org.snipewick.endpoint.http.HttpLoadReportClient;
+import org.snipewick.endpoint.http.TestLoop;
+import org.snipewick.event.EventLog;
+import org.snipewick.failure.Failure;
+import org.snipewick.failure.FailureType;
+import org.snipewick.pool.EndpointStatus;
+import org.snipewick.time.VirtualTimerService;
+
+class LoadReportsTest {
+  private static final Duration PERIOD = Duration.ofSeconds(1);
+
+  private final VirtualTimerService timer = VirtualTimerService.of(0);
+  private final List<EndpointStatus> told = new ArrayList<>();
+  private Supplier<CompletableFuture<LoadReport>> answers = () -> report("live");
+  private EndpointStatus known = FakeEndpoint.status("engine-1", 1);
+  private final LoadReports reports =
+      LoadReports.start(
+          endpoint -> answers.get(),
+          () -> List.of(known),
+          told::add,
+          timer,
+          EventLog.none(),
+          PERIOD);
+
+  @AfterEach
+  void close() {
+    reports.close();
+  }
+
+  @ParameterizedTest(name = "reported {0}, listed {1}")
+  @CsvSource({"live,LIVE,LIVE", "leaving,LIVE,LEAVING", "live,LEAVING,LEAVING"})
+  void shouldLeaveWhenReportOrListSaysSo(
+      String reported, EndpointStatus.State listed, EndpointStatus.State expected) {
+    answers = () -> report(reported);
+    known = known.withState(listed);
+
+    timer.advance(PERIOD);
+
+    assertThat(told).extracting(EndpointStatus::state).containsExactly(expected);
+    assertThat(told.get(0).reportedRunning()).isEqualTo(3);
+  }
+
+  @ParameterizedTest
+  @CsvSource({"false", "true"})
+  void shouldBeUnreachableAfterTwoFailuresAndLiveAgainWhenItAnswers(boolean hangs) {
+    answers = hangs ? CompletableFuture::new : LoadReportsTest::failed;
+    timer.advance(PERIOD.multipliedBy(2).plusMillis(500));
+    answers = hangs ? CompletableFuture::new : () -> report("live");
+    timer.advance(PERIOD.multipliedBy(2));
+    answers = () -> report("live");
+    timer.advance(PERIOD.multipliedBy(3));
+
+    assertThat(told)
+        .extracting(EndpointStatus::state)
+        .startsWith(EndpointStatus.State.UNREACHABLE)
+        .endsWith(EndpointStatus.State.LIVE);
+  }
+
+  @ParameterizedTest(name = "{0} endpoints: all read within {1} ms, at most {2} reads a second")
+  @CsvSource({"1,1000,1", "10,1000,10", "11,2000,10", "32,2000,16", "300,2000,150"})
+  void shouldReadAllInTurnAtEvenRateWhenPoolIsLarge(int size, long withinMillis, int perSecond) {
+    List<EndpointStatus> many =
+        IntStream.range(0, size)
+            .mapToObj(index -> FakeEndpoint.status("engine-" + index, 1))
+            .toList();
+    List<EndpointStatus> read = new ArrayList<>();
+    final LoadReports large =
+        LoadReports.start(
+            endpoint -> report("live"), () -> many, read::add, timer, EventLog.none(), PERIOD);
+    for (int round = 0; round < 5; round++) {
+      read.clear();
+      for (long millis = 0; millis < withinMillis; millis += 250) {
+        int before = read.size();
+        timer.advance(Duration.ofMillis(250));
+        assertThat(read.size() - before).isLessThanOrEqualTo(perSecond / 4 + 1);
+      }
+      assertThat(read)
+          .extracting(EndpointStatus::id)
+          .containsAll(many.stream().map(EndpointStatus::id).toList());
+      assertThat(read.size()).isLessThanOrEqualTo((int) (perSecond * withinMillis / 1000));
+    }
+    large.close();
+  }
+
+  @Test
+  void shouldReadReportOverHttpWhenEndpointAnswers() throws Exception {
+    String json = "{\"state\":\"leaving\",\"running\":2,\"queued\":1,\"models\":[\"m\"]}";
+    try (TestLoop loop = TestLoop.start();
+        FakeEndpoint endpoint = FakeEndpoint.start(call -> call.whole(200, json))) {
+      HttpLoadReportClient client = HttpLoadReportClient.of(loop.eventloop());
+
+      LoadReport report = client.read(endpoint.status("engine-1")).get(10, TimeUnit.SECONDS);
+
+      assertThat(report).isEqualTo(new LoadReport("leaving", 2, 1, -1, 0, 0, 0));
+      endpoint.setScript(call -> call.whole(200, "{"));
+      assertThat(client.read(endpoint.status("engine-1")))
+          .failsWithin(Duration.ofSeconds(10))
+          .withThrowableThat()
+          .withMessageContaining("NO_ENDPOINT");
+    }
+  }
+
+  private static CompletableFuture<LoadReport> report(String state) {
+    return CompletableFuture.completedFuture(new LoadReport(state, 3, 0, -1, 0, 0, 0));
+  }
+
+  private static CompletableFuture<LoadReport> failed() {
+    return CompletableFuture.failedFuture(
+        Failure.notRun(FailureType.NO_ENDPOINT, "down").toException());
+  }
+}
--- /dev/null
+++ b/snipewick/src/test/java/org/snipewick/endpoint/http/EventParserTest.java
@@ -0,0 +1,44 @@
+package org.snipewick.endpoint.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.snipewick.endpoint.StreamEvent;
+
+class EventParserTest {
+  private static final byte[] TEXT =
+      ": comment\r\ndata: ä1\r\n\r\nevent: x\ndata:two\ndata: lines\n\ndata: [DONE]\n\ndata: cut"
+          .getBytes(StandardCharsets.UTF_8);
+
+  static IntStream cuts() {
+    return IntStream.range(0, TEXT.length);
+  }
+
+  @ParameterizedTest
+  @MethodSource("cuts")
+  void shouldFindSameEventsWhenBytesAreCutAnywhere(int cut) {
+    EventParser parser = EventParser.of(1000);
+
+    List<StreamEvent> events = new ArrayList<>(parser.feed(Arrays.copyOf(TEXT, cut)));
+    events.addAll(parser.feed(Arrays.copyOfRange(TEXT, cut, TEXT.length)));
+
+    assertThat(events)
+        .extracting(StreamEvent::data)
+        .containsExactly("ä1", "two\nlines", StreamEvent.DONE);
+  }
+
+  @Test
+  void shouldOverflowWhenOneEventExceedsTheLimit() {
+    EventParser parser = EventParser.of(10);
+
+    assertThat(parser.feed("data: 123456789".getBytes(StandardCharsets.UTF_8))).isEmpty();
+    assertThat(parser.isOverflowing()).isTrue();
+  }
+}
--- /dev/null
+++ b/snipewick/src/test/java/org/snipewick/endpoint/http/FakeEndpoint.java
@@ -0,0 +1,237 @@
+package org.snipewick.endpoint.http;
+
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.snipewick.identity.EndpointId;
+import org.snipewick.identity.Tier;
+import org.snipewick.pool.EndpointStatus;
+
+/** Endpoint in the test's process whose behaviour is scripted, exchange by exchange. */
+public final class FakeEndpoint implements AutoCloseable {
+
+  /** What an endpoint does with an exchange. */
+  @FunctionalInterface
+  public interface Script {
+
+    /**
+     * Answers, or breaks off.
+     *
+     * @param call exchange
+     * @throws IOException if the other side is gone
+     */
+    void answer(Call call) throws IOException;
+  }
+
+  /** One exchange. */
+  public static final class Call {
+    private final HttpExchange exchange;
+    private final String body;
+
+    Call(HttpExchange exchange) throws IOException {
+      this.exchange = exchange;
+      this.body = new String(exchange.getRequestBody().readAllBytes(), StandardCharsets.UTF_8);
+    }
+
+    /** Returns method and path. */
+    public String line() {
+      return exchange.getRequestMethod() + " " + exchange.getRequestURI();
+    }
+
+    /** Returns the body of the request. */
+    public String body() {
+      return body;
+    }
+
+    /** Returns a header of the request. */
+    public String header(String name) {
+      return exchange.getRequestHeaders().getFirst(name);
+    }
+
+    /** Sets a header of the answer. */
+    public void setHeader(String name, String value) {
+      exchange.getResponseHeaders().set(name, value);
+    }
+
+    /** Answers in full length. */
+    public void whole(int status, String text) throws IOException {
+      truncated(status, text, 0);
+    }
+
+    /** Announces more bytes than follow, and closes the connection. */
+    public void truncated(int status, String text, int missing) throws IOException {
+      byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+      exchange.getResponseHeaders().putIfAbsent("Content-Type", List.of("application/json"));
+      exchange.sendResponseHeaders(
+          status, bytes.length + missing == 0 ? -1 : bytes.length + missing);
+      exchange.getResponseBody().write(bytes);
+    }
+
+    /** Begins a stream of events. */
+    public void beginStream() throws IOException {
+      exchange.getResponseHeaders().set("Content-Type", "text/event-stream");
+      exchange.sendResponseHeaders(200, 0);
+    }
+
+    /** Sends an event of a stream. */
+    public void event(String data) throws IOException {
+      OutputStream out = exchange.getResponseBody();
+      out.write(("data: " + data + "\n\n").getBytes(StandardCharsets.UTF_8));
+      out.flush();
+    }
+
+    /** Sends numbered tokens, the last of which finishes the answer. */
+    public void tokens(int from, int to, int last) throws IOException {
+      for (int number = from; number <= to; number++) {
+        event(token(number, number == last));
+      }
+    }
+
+    /** Sends the terminator of a stream. */
+    public void done() throws IOException {
+      event("[DONE]");
+      exchange.getResponseBody().close();
+    }
+
+    /** Sends events until the other side closes the connection. */
+    public void untilClosed(CountDownLatch closed) {
+      try {
+        for (int number = 1; number < 100_000; number++) {
+          event(token(number, false));
+          if (closed.await(5, TimeUnit.MILLISECONDS)) {
+            return;
+          }
+        }
+      } catch (IOException gone) {
+        closed.countDown();
+      } catch (InterruptedException interrupted) {
+        Thread.currentThread().interrupt();
+      }
+    }
+  }
+
+  private final HttpServer server;
+  private final ExecutorService threads = Executors.newCachedThreadPool();
+  private final BlockingQueue<String> lines = new LinkedBlockingQueue<>();
+  private final ConcurrentLinkedQueue<Call> calls = new ConcurrentLinkedQueue<>();
+  private volatile Script script;
+
+  private FakeEndpoint(HttpServer server, Script script) {
+    this.server = server;
+    this.script = script;
+  }
+
+  /** Starts an endpoint. */
+  public static FakeEndpoint start(Script script) {
+    try {
+      HttpServer server =
+          HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 512);
+      FakeEndpoint endpoint = new FakeEndpoint(server, script);
+      server.setExecutor(endpoint.threads);
+      server.createContext("/", endpoint::handle);
+      server.start();
+      return endpoint;
+    } catch (IOException failed) {
+      throw new UncheckedIOException(failed);
+    }
+  }
+
+  /** Returns a complete whole answer that repeats a text. */
+  public static String completion(String text) {
+    return "{\"choices\":[{\"message\":{\"content\":\""
+        + text
+        + "\"},\"finish_reason\":\"stop\"}],\"usage\":{\"completion_tokens\":3}}";
+  }
+
+  /** Returns the payload of one token of a stream. */
+  public static String token(int number, boolean last) {
+    return "{\"choices\":[{\"delta\":{\"content\":\"t"
+        + number
+        + "\"},\"finish_reason\":"
+        + (last ? "\"stop\"" : "null")
+        + "}]}";
+  }
+
+  public void setScript(Script changed) {
+    script = changed;
+  }
+
+  /** Waits for the next exchange and returns its request line. */
+  public String awaitLine() {
+    try {
+      String line = lines.poll(10, TimeUnit.SECONDS);
+      if (line == null) {
+        throw new AssertionError("no exchange within 10 s");
+      }
+      return line;
+    } catch (InterruptedException interrupted) {
+      throw new AssertionError(interrupted);
+    }
+  }
+
+  /** Counts the dispatches, without resumes, cancels and reports. */
+  public long dispatches() {
+    return calls.stream()
+        .map(Call::line)
+        .filter(line -> !line.contains("/v1/requests/") && !line.endsWith("/load"))
+        .count();
+  }
+
+  /** Returns all exchanges so far. */
+  public List<Call> calls() {
+    return List.copyOf(calls);
+  }
+
+  /** Returns its status as a scheduler would have it. */
+  public EndpointStatus status(String name) {
+    return status(name, server.getAddress().getPort());
+  }
+
+  /** Returns the status of an endpoint at a port of this machine. */
+  public static EndpointStatus status(String name, int port) {
+    return new EndpointStatus(
+        EndpointId.of(name),
+        "127.0.0.1",
+        port,
+        EndpointStatus.State.LIVE,
+        Tier.FOUR,
+        100,
+        0,
+        -1,
+        -1,
+        -1,
+        0);
+  }
+
+  @Override
+  public void close() {
+    server.stop(0);
+    threads.shutdownNow();
+  }
+
+  private void handle(HttpExchange exchange) throws IOException {
+    try (exchange) {
+      Call call = new Call(exchange);
+      calls.add(call);
+      lines.add(call.line());
+      if (call.line().startsWith("DELETE")) {
+        exchange.sendResponseHeaders(204, -1);
+      } else {
+        script.answer(call);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/snipewick/src/test/java/org/snipewick/idempotency/IdempotencyMessagesTest.java
@@ -0,0 +1,93 @@
+package org.snipewick.idempotency;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.snipewick.identity.InstanceId;
+import org.snipewick.identity.RequestId;
+import org.snipewick.identity.TeamName;
+import org.snipewick.membership.Loss;
+import org.snipewick.peer.Frame;
+import org.snipewick.peer.PeerCodec;
+import org.snipewick.peer.PeerMessage;
+
+class IdempotencyMessagesTest {
+  private static final RequestId ID =
+      RequestId.of(InstanceId.of("wien-a.1"), 1_800_000_000_000L, 9);
+  private static final KeyedRequest REQUEST =
+      new KeyedRequest(
+          ID, TeamName.of("drivers"), "0192f0c1-0000-7000-8000-000000000001", "0123abcd", false);
+  private static final StoredAnswer ANSWER = new StoredAnswer(200, "text/plain", "answer");
+  private static final KeyRecord CLAIMED = KeyRecord.claimed(REQUEST, 1_800_000_000_001L);
+  private static final KeyRecord RAN =
+      CLAIMED.withStatus(KeyRecord.Status.RAN, 2).withAnswer(Optional.of(ANSWER));
+
+  private final PeerCodec codec = PeerCodec.ofAll(IdempotencyMessages.MESSAGE_TYPES);
+
+  static List<PeerMessage> messages() {
+    MemberProcess process = new MemberProcess(ID.instance(), 1);
+    Coverage coverage = new Coverage(true, 5);
+    return Stream.<PeerMessage>of(
+            new IdempotencyMessages.Claim(REQUEST),
+            new IdempotencyMessages.Lookup(REQUEST),
+            new IdempotencyMessages.State(new KeyState.Fresh()),
+            new IdempotencyMessages.State(new KeyState.InProgress()),
+            new IdempotencyMessages.State(new KeyState.Unknown()),
+            new IdempotencyMessages.State(new KeyState.RanWithoutAnswer()),
+            new IdempotencyMessages.State(new KeyState.Ran(ANSWER)),
+            new IdempotencyMessages.Note(CLAIMED, Optional.of(ID)),
+            new IdempotencyMessages.Noted(false, Optional.of(RAN)),
+            new IdempotencyMessages.Ask("drivers/key", true),
+            new IdempotencyMessages.Told(
+                Optional.of(CLAIMED),
+                coverage,
+                process,
+                List.of(process),
+                List.of(new Loss(ID.instance(), 1, 2))),
+            new IdempotencyMessages.Confirm(ID),
+            new IdempotencyMessages.Confirmed(KeyRecord.Status.RELEASED, Optional.empty()),
+            new IdempotencyMessages.Update(RAN, true),
+            new IdempotencyMessages.HandOver(List.of(CLAIMED, RAN)),
+            new IdempotencyMessages.HandedOver(1, coverage),
+            new IdempotencyMessages.Acknowledged(true))
+        .toList();
+  }
+
+  @ParameterizedTest
+  @MethodSource("messages")
+  void shouldKeepItsValueWhenEncodedAndDecoded(PeerMessage message) {
+    Frame frame = new Frame.Send(message);
+    assertThat(codec.decode(codec.encode(frame))).isEqualTo(frame);
+  }
+
+  @Test
+  void shouldBeRegisteredWhenSent() {
+    Set<Class<?>> sent = messages().stream().map(PeerMessage::getClass).collect(Collectors.toSet());
+    assertThat(Set.copyOf(IdempotencyMessages.MESSAGE_TYPES.values())).isEqualTo(sent);
+  }
+
+  /** The bound is what docs/design/0010-at-most-once.md gives for a request that nobody repeats. */
+  @Test
+  void shouldStayWithinBoundOfBytesWhenOneRequestIsClaimedAndCompleted() {
+    int bytes =
+        Stream.<PeerMessage>of(
+                new IdempotencyMessages.Claim(REQUEST),
+                new IdempotencyMessages.Note(CLAIMED, Optional.empty()),
+                new IdempotencyMessages.Noted(false, Optional.empty()),
+                new IdempotencyMessages.State(new KeyState.Fresh()),
+                new IdempotencyMessages.Update(RAN.withAnswer(Optional.empty()), true),
+                new IdempotencyMessages.Acknowledged(true),
+                new IdempotencyMessages.Update(RAN.withAnswer(Optional.empty()), false))
+            .mapToInt(message -> codec.encode(new Frame.Call(1_000_000, message)).length)
+            .sum();
+    System.out.println("bytes of a keyed request without its answer: " + bytes);
+    assertThat(bytes).isLessThan(600);
+  }
+}
--- /dev/null
+++ b/snipewick/src/test/java/org/snipewick/idempotency/KeyCluster.java
@@ -0,0 +1,271 @@
+package org.snipewick.idempotency;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BiFunction;
+import org.snipewick.failure.FailureException;
+import org.snipewick.identity.FailureDomain;
+import org.snipewick.identity.InstanceId;
+import org.snipewick.identity.RequestId;
+import org.snipewick.identity.TeamName;
+import org.snipewick.membership.Loss;
+import org.snipewick.membership.Member;
+import org.snipewick.membership.MembershipView;
+import org.snipewick.membership.Rendezvous;
+import org.snipewick.membership.SettableMembership;
+import org.snipewick.peer.InMemoryPeers;
+import org.snipewick.peer.PeerMessage;
+import org.snipewick.peer.PeerNetwork;
+import org.snipewick.time.VirtualTimerService;
+
+/** Entry instances in memory that remember keys for each other, with a count of dispatches. */
+final class KeyCluster {
+  static final Duration DEATH_TIMEOUT = Duration.ofSeconds(2);
+
+  final VirtualTimerService timer = VirtualTimerService.of(1_800_000_000_000L);
+  final InMemoryPeers peers = new InMemoryPeers(timer, Duration.ofMillis(1));
+  final Map<String, Node> nodes = new LinkedHashMap<>();
+  final Map<String, Integer> dispatches = new HashMap<>();
+  long messages;
+  private long sequence;
+
+  /** Starts instances ("domain.number") that know each other from the beginning of time. */
+  static KeyCluster of(String... names) {
+    KeyCluster cluster = new KeyCluster();
+    for (String name : names) {
+      cluster.nodes.put(name, cluster.new Node(name, 1, 0));
+    }
+    cluster.nodes.values().forEach(node -> cluster.spread(node.member, node.member.state()));
+    return cluster;
+  }
+
+  /** Starts an instance now; nobody else sees it until {@link #spread}. */
+  Node join(String name, long incarnation) {
+    Node node = new Node(name, incarnation, timer.epochMillis());
+    nodes.put(name, node);
+    nodes.values().forEach(other -> other.tellLosses(node));
+    nodes.values().stream().filter(other -> other.running).forEach(other -> node.see(other.member));
+    return node;
+  }
+
+  /** Makes all instances see a member in a state. */
+  void spread(Member member, Member.State state) {
+    nodes.values().forEach(node -> node.see(member.withState(state)));
+  }
+
+  void crash(String name) {
+    nodes.get(name).running = false;
+    peers.crash(InstanceId.of(name));
+  }
+
+  /** Lets the others find out that an instance is dead. */
+  void declareDead(String name) {
+    advance(DEATH_TIMEOUT);
+    spread(nodes.get(name).member, Member.State.DEAD);
+  }
+
+  void crashAndDeclareDead(String name) {
+    crash(name);
+    declareDead(name);
+  }
+
+  void freeze(String name) {
+    peers.pause(InstanceId.of(name));
+    nodes.get(name).frozen = true;
+    nodes
+        .get(name)
+        .membership
+        .standing(false, nodes.get(name).membership.standingSinceEpochMillis());
+  }
+
+  /** Lets an instance run on; it has no standing until it {@link #regain}s it. */
+  void wake(String name) {
+    Node node = nodes.get(name);
+    node.frozen = false;
+    List<Runnable> held = List.copyOf(node.held);
+    node.held.clear();
+    held.forEach(Runnable::run);
+    peers.resume(InstanceId.of(name));
+  }
+
+  void regain(String name) {
+    Node node = nodes.get(name);
+    spread(node.member, Member.State.ALIVE);
+    node.membership.standing(true, timer.epochMillis());
+  }
+
+  void advance(Duration duration) {
+    timer.advance(duration);
+  }
+
+  /** Claims a key and moves time until there is an answer; dispatches if that is permitted. */
+  Attempt call(String at, String key) {
+    Attempt attempt = begin(at, key);
+    for (int i = 0; i < 100 && !attempt.future.isDone(); i++) {
+      advance(Duration.ofMillis(100));
+    }
+    return attempt;
+  }
+
+  Attempt begin(String at, String key) {
+    Node node = nodes.get(at);
+    RequestId id = RequestId.of(node.member.id(), node.member.incarnation(), ++sequence);
+    KeyedRequest request = new KeyedRequest(id, TeamName.of("team"), key, "f", false);
+    return new Attempt(node, request, node.ledger.claim(request));
+  }
+
+  String registrar(String key) {
+    return ranked(key).get(0);
+  }
+
+  /** Returns a key whose home is the first domain and whose rank begins with the given names. */
+  String keyRanked(String... first) {
+    for (int i = 0; ; i++) {
+      String key = first[0].substring(0, first[0].lastIndexOf('.')) + ".key" + i;
+      if (ranked(key).subList(0, first.length).equals(List.of(first))) {
+        return key;
+      }
+    }
+  }
+
+  private List<String> ranked(String key) {
+    String domain = key.substring(0, key.indexOf('.'));
+    List<String> members =
+        nodes.keySet().stream().filter(name -> name.startsWith(domain + ".")).toList();
+    return Rendezvous.rank("team/" + key, members, name -> name);
+  }
+
+  /** A call that claimed a key. */
+  final class Attempt {
+    final Node node;
+    final KeyedRequest request;
+    final CompletableFuture<KeyState> future;
+
+    private Attempt(Node node, KeyedRequest request, CompletableFuture<KeyState> future) {
+      this.node = node;
+      this.request = request;
+      this.future = future;
+    }
+
+    /** Returns the name of the state or of the failure. */
+    String told() {
+      if (!future.isDone()) {
+        return "nothing";
+      }
+      return future
+          .handle(
+              (state, failure) ->
+                  failure == null
+                      ? state.getClass().getSimpleName()
+                      : FailureException.unwrap(failure).type().name())
+          .join();
+    }
+
+    Attempt dispatch() {
+      if (told().equals("Fresh") && node.running) {
+        dispatches.merge(request.key(), 1, Integer::sum);
+      }
+      return this;
+    }
+
+    void complete() {
+      var unused = node.ledger.complete(request, new StoredAnswer(200, "text/plain", "answer"));
+      advance(Duration.ofMillis(10));
+    }
+
+    void release() {
+      var unused = node.ledger.releaseNotRun(request);
+      advance(Duration.ofMillis(10));
+    }
+  }
+
+  /** One entry instance. */
+  final class Node implements PeerNetwork {
+    final Member member;
+    final SettableMembership membership;
+    final RegistrarLedger ledger;
+    boolean running = true;
+    boolean frozen;
+    private final List<Runnable> held = new ArrayList<>();
+    private final List<Loss> losses = new ArrayList<>();
+    private final PeerNetwork network;
+
+    private Node(String name, long incarnation, long standingSinceEpochMillis) {
+      FailureDomain domain = FailureDomain.of(name.substring(0, name.lastIndexOf('.')));
+      member =
+          new Member(InstanceId.of(name), domain, "127.0.0.1", 1, incarnation, Member.State.ALIVE);
+      membership = new SettableMembership(MembershipView.ofAll(member.id(), List.of(member)));
+      membership.standing(true, standingSinceEpochMillis);
+      network = peers.join(member.id());
+      ledger =
+          RegistrarLedger.of(
+              this, membership, () -> List.copyOf(losses), timer, LedgerSettings.defaults());
+    }
+
+    void tellLosses(Node other) {
+      if (running && !frozen && other != this) {
+        other.losses.addAll(losses);
+      }
+    }
+
+    void see(Member seen) {
+      if (seen.state() == Member.State.DEAD && membership.view().isReachable(seen.id())) {
+        losses.add(new Loss(seen.id(), seen.incarnation(), timer.epochMillis()));
+      } else if (seen.state() == Member.State.ALIVE) {
+        membership
+            .view()
+            .find(seen.id())
+            .filter(known -> known.incarnation() == seen.incarnation())
+            .ifPresent(known -> losses.removeIf(loss -> loss.id().equals(seen.id())));
+      }
+      Map<InstanceId, Member> members = new HashMap<>(membership.view().members());
+      members.put(seen.id(), seen);
+      membership.change(new MembershipView(member.id(), members));
+    }
+
+    @Override
+    public CompletableFuture<PeerMessage> call(
+        InstanceId to, PeerMessage message, Duration timeout) {
+      messages++;
+      CompletableFuture<PeerMessage> result = new CompletableFuture<>();
+      perform(
+          () -> {
+            var unused =
+                network
+                    .call(to, message, timeout)
+                    .whenComplete((reply, failure) -> Futures.pass(reply, failure, result));
+          });
+      return result;
+    }
+
+    @Override
+    public void send(InstanceId to, PeerMessage message) {
+      messages++;
+      perform(() -> network.send(to, message));
+    }
+
+    private void perform(Runnable action) {
+      if (running && frozen) {
+        held.add(action);
+      } else if (running) {
+        action.run();
+      }
+    }
+
+    @Override
+    public <T extends PeerMessage> void handle(
+        Class<T> type,
+        BiFunction<InstanceId, T, CompletableFuture<? extends PeerMessage>> handler) {
+      network.handle(type, handler);
+    }
+
+    @Override
+    public void locate(InstanceId instance, InetSocketAddress address) {}
+  }
+}
--- /dev/null
+++ b/snipewick/src/test/java/org/snipewick/idempotency/PresenceControllerTest.java
@@ -0,0 +1,218 @@
+package org.snipewick.idempotency;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.junit.jupiter.params.provider.Arguments.arguments;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.snipewick.membership.Member;
+import org.snipewick.platform.InMemoryTable;
+import org.snipewick.platform.InMemoryTable.Fault;
+import org.snipewick.platform.Row;
+import org.snipewick.platform.Table;
+import org.snipewick.platform.Write;
+import org.snipewick.platform.WriteResult;
+
+/** A whole failure domain starts, for the first time or again, while the platform has faults. */
+class PresenceControllerTest {
+  private static final String KEY = "a.key";
+  private static final Duration LONGER_THAN_RETENTION = Duration.ofMinutes(5);
+
+  /** Each case kills and restarts the domain after a dispatch. */
+  static Stream<Arguments> restarts() {
+    return Stream.of(
+        arguments("platform up", restart(Domain::restart)),
+        arguments(
+            "platform out at the restart",
+            restart(
+                domain -> {
+                  domain.table.fault(Fault.OUTAGE);
+                  domain.restart();
+                })),
+        arguments(
+            "answers of writes lost at the restart",
+            restart(
+                domain -> {
+                  domain.table.fault(Fault.LOST_ANSWER);
+                  domain.restart();
+                })),
+        arguments(
+            "writes lost at the restart",
+            restart(
+                domain -> {
+                  domain.table.fault(Fault.LOST_WRITE);
+                  domain.restart();
+                })),
+        arguments(
+            "stale reads at the restart",
+            restart(
+                domain -> {
+                  domain.kill();
+                  domain.start(new StaleTable(domain.table));
+                })),
+        arguments(
+            "killed again, platform out at the first restart only",
+            restart(
+                domain -> {
+                  domain.table.fault(Fault.OUTAGE);
+                  domain.restart();
+                  domain.table.fault(Fault.NONE);
+                  domain.restart();
+                })));
+  }
+
+  @ParameterizedTest(name = "{0}")
+  @MethodSource("restarts")
+  void shouldNotDispatchTwiceWhenWholeDomainRestarts(String name, Consumer<Domain> restart) {
+    Domain domain = new Domain();
+    domain.start(domain.table);
+    assertThat(domain.call()).isEqualTo("Fresh");
+    restart.accept(domain);
+    assertThat(domain.call()).isEqualTo("Unknown");
+    assertThat(domain.dispatches()).isEqualTo(1);
+  }
+
+  @Test
+  void shouldNotDispatchTwiceWhenDomainServedThroughLongOutageBeforeItsRestart() {
+    Domain domain = new Domain();
+    domain.start(domain.table);
+    domain.table.fault(Fault.OUTAGE);
+    domain.cluster.advance(LONGER_THAN_RETENTION);
+    assertThat(domain.call()).isEqualTo("Fresh");
+    domain.kill();
+    domain.table.fault(Fault.NONE);
+    domain.start(domain.table);
+    assertThat(domain.call()).isEqualTo("Unknown");
+    assertThat(domain.dispatches()).isEqualTo(1);
+  }
+
+  @Test
+  void shouldNotDispatchTwiceWhenFirstStartFellIntoAnOutageThatEndedBeforeTheRestart() {
+    Domain domain = new Domain();
+    domain.table.fault(Fault.OUTAGE);
+    domain.start(domain.table);
+    assertThat(domain.call()).isEqualTo("Unknown");
+    domain.cluster.advance(LONGER_THAN_RETENTION);
+    assertThat(domain.call()).isEqualTo("Fresh");
+    domain.table.fault(Fault.NONE);
+    domain.cluster.advance(Duration.ofMinutes(1));
+    domain.restart();
+    assertThat(domain.call()).isEqualTo("Unknown");
+    assertThat(domain.dispatches()).isEqualTo(1);
+  }
+
+  @Test
+  void shouldGrantKeysWithoutAgeAgainWhenRetentionHasPassedSinceTheRestart() {
+    Domain domain = new Domain();
+    domain.start(domain.table);
+    domain.restart();
+    assertThat(domain.call()).isEqualTo("Unknown");
+    domain.cluster.advance(LONGER_THAN_RETENTION);
+    assertThat(domain.call()).isEqualTo("Fresh");
+  }
+
+  @ParameterizedTest
+  @EnumSource(Fault.class)
+  void shouldGrantKeysMadeAfterTheRestartWhateverThePlatformDoes(Fault fault) {
+    Domain domain = new Domain();
+    domain.start(domain.table);
+    domain.table.fault(fault);
+    domain.restart();
+    domain.cluster.advance(Duration.ofSeconds(3));
+    long now = domain.cluster.timer.epochMillis();
+    String key = "a." + RegistrarLedgerFaultsTest.timeOrdered(now, 1);
+    assertThat(domain.cluster.call("a.2", key).told()).isEqualTo("Fresh");
+  }
+
+  @Test
+  void shouldGrantAtFirstStartWhenAnswerOfItsWriteIsLostOnce() {
+    Domain domain = new Domain();
+    domain.table.fault(Fault.LOST_ANSWER);
+    domain.join("a.1", domain.table);
+    domain.table.fault(Fault.NONE);
+    domain.cluster.advance(Duration.ofSeconds(1));
+    assertThat(domain.cluster.call("a.1", KEY).told()).isEqualTo("Fresh");
+  }
+
+  @ParameterizedTest
+  @EnumSource(names = {"OUTAGE", "LOST_ANSWER", "LOST_WRITE"})
+  void shouldGrantSoonAfterFirstStartWhenPlatformHadFaultThen(Fault fault) {
+    Domain domain = new Domain();
+    domain.table.fault(fault);
+    domain.start(domain.table);
+    domain.cluster.advance(Duration.ofSeconds(2));
+    domain.table.fault(Fault.NONE);
+    domain.cluster.advance(Duration.ofSeconds(6));
+    assertThat(domain.call()).isEqualTo("Fresh");
+    domain.restart();
+    assertThat(domain.call()).isEqualTo("Unknown");
+  }
+
+  private static Consumer<Domain> restart(Consumer<Domain> restart) {
+    return restart;
+  }
+
+  /** Three instances that are one failure domain, and the platform's table. */
+  private static final class Domain {
+    private static final List<String> MEMBERS = List.of("a.1", "a.2", "a.3");
+    final KeyCluster cluster = KeyCluster.of();
+    final InMemoryTable table = new InMemoryTable();
+    private long incarnation;
+
+    void start(Table way) {
+      incarnation++;
+      MEMBERS.forEach(name -> join(name, way));
+      cluster.advance(Duration.ofSeconds(1));
+    }
+
+    void join(String name, Table way) {
+      KeyCluster.Node node = cluster.join(name, incarnation);
+      cluster.spread(node.member, Member.State.ALIVE);
+      assertThat(PresenceController.start(way, node.ledger)).isNotNull();
+    }
+
+    void kill() {
+      MEMBERS.forEach(cluster::crash);
+    }
+
+    void restart() {
+      kill();
+      start(table);
+    }
+
+    String call() {
+      return cluster.call("a.2", KEY).dispatch().told();
+    }
+
+    int dispatches() {
+      return cluster.dispatches.getOrDefault(KEY, 0);
+    }
+  }
+
+  /** Reads see a copy from before the first write; writes judge by the latest rows. */
+  private record StaleTable(InMemoryTable latest) implements Table {
+    @Override
+    public CompletableFuture<Optional<Row>> read(String key) {
+      return CompletableFuture.completedFuture(Optional.empty());
+    }
+
+    @Override
+    public CompletableFuture<List<Row>> scan(String prefix) {
+      return CompletableFuture.completedFuture(List.of());
+    }
+
+    @Override
+    public CompletableFuture<WriteResult> write(Write write) {
+      return latest.write(write);
+    }
+  }
+}
--- /dev/null
+++ b/snipewick/src/test/java/org/snipewick/idempotency/RegistrarLedgerFaultsTest.java
@@ -0,0 +1,381 @@
+package org.snipewick.idempotency;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.junit.jupiter.params.provider.Arguments.arguments;
+
+import java.time.Duration;
+import java.util.UUID;
+import java.util.function.Function;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.snipewick.failure.Failure;
+import org.snipewick.failure.FailureException;
+import org.snipewick.failure.FailureType;
+import org.snipewick.failure.Outcome;
+import org.snipewick.identity.InstanceId;
+import org.snipewick.membership.Member;
+
+class RegistrarLedgerFaultsTest {
+  private static final String KEY = "a.key";
+
+  /** Each case brings a fault about and returns the last call; then what that call was told. */
+  static Stream<Arguments> faults() {
+    return Stream.of(
+        arguments("repeat while the first runs", "InProgress", 1, fault(run -> run.repeat())),
+        arguments(
+            "repeat after the answer",
+            "Ran",
+            1,
+            fault(
+                run -> {
+                  run.first.complete();
+                  return run.repeat();
+                })),
+        arguments(
+            "repeat after a release",
+            "Fresh",
+            2,
+            fault(
+                run -> {
+                  run.first.release();
+                  return run.repeat();
+                })),
+        arguments(
+            "registrar killed after the grant",
+            "InProgress",
+            1,
+            fault(
+                run -> {
+                  run.cluster.crashAndDeclareDead(run.registrar);
+                  return run.repeat();
+                })),
+        arguments(
+            "registrar killed after the answer",
+            "Ran",
+            1,
+            fault(
+                run -> {
+                  run.first.complete();
+                  run.cluster.crashAndDeclareDead(run.registrar);
+                  return run.repeat();
+                })),
+        arguments(
+            "claimer killed",
+            "Unknown",
+            1,
+            fault(
+                run -> {
+                  run.cluster.crashAndDeclareDead(run.entry);
+                  return run.repeat();
+                })),
+        arguments(
+            "claimer restarted under its name",
+            "Unknown",
+            1,
+            fault(
+                run -> {
+                  run.cluster.crash(run.entry);
+                  Member restarted = run.cluster.join(run.entry, 2).member;
+                  run.cluster.spread(restarted, Member.State.ALIVE);
+                  return run.repeat();
+                })),
+        arguments(
+            "registrar and claimer killed",
+            "Unknown",
+            1,
+            fault(
+                run -> {
+                  run.cluster.crash(run.entry);
+                  run.cluster.crashAndDeclareDead(run.registrar);
+                  run.cluster.declareDead(run.entry);
+                  return run.repeat();
+                })),
+        arguments(
+            "registrar and witness killed, claimer knows",
+            "InProgress",
+            1,
+            fault(
+                run -> {
+                  run.cluster.crash(run.witness);
+                  run.cluster.crashAndDeclareDead(run.registrar);
+                  run.cluster.declareDead(run.witness);
+                  return run.repeat();
+                })),
+        arguments(
+            "registrar, witness and claimer killed",
+            "Unknown",
+            1,
+            fault(
+                run -> {
+                  run.cluster.crash(run.witness);
+                  run.cluster.crash(run.entry);
+                  run.cluster.crashAndDeclareDead(run.registrar);
+                  run.cluster.declareDead(run.witness);
+                  run.cluster.declareDead(run.entry);
+                  return run.repeat();
+                })),
+        arguments(
+            "registrar frozen, then declared dead",
+            "InProgress",
+            1,
+            fault(
+                run -> {
+                  run.cluster.freeze(run.registrar);
+                  KeyCluster.Attempt repeat = run.beginRepeat();
+                  run.cluster.declareDead(run.registrar);
+                  return run.await(repeat);
+                })),
+        arguments(
+            "frozen registrar wakes after a take-over",
+            "InProgress",
+            1,
+            fault(
+                run -> {
+                  run.cluster.freeze(run.registrar);
+                  run.cluster.declareDead(run.registrar);
+                  run.repeat();
+                  run.cluster.wake(run.registrar);
+                  run.cluster.regain(run.registrar);
+                  return run.repeat();
+                })),
+        arguments(
+            "registrar crashes, restarts empty",
+            "InProgress",
+            1,
+            fault(
+                run -> {
+                  run.cluster.crash(run.registrar);
+                  Member restarted = run.cluster.join(run.registrar, 2).member;
+                  run.cluster.spread(restarted, Member.State.ALIVE);
+                  return run.repeat();
+                })),
+        arguments(
+            "release lost on its way",
+            "Fresh",
+            2,
+            fault(
+                run -> {
+                  run.cutFromOthers(true);
+                  run.first.release();
+                  run.cluster.advance(Duration.ofSeconds(10));
+                  run.cutFromOthers(false);
+                  return run.repeat();
+                })),
+        arguments(
+            "answer lost on its way",
+            "Ran",
+            1,
+            fault(
+                run -> {
+                  run.cutFromOthers(true);
+                  run.first.complete();
+                  run.cluster.advance(Duration.ofSeconds(10));
+                  run.cutFromOthers(false);
+                  return run.repeat();
+                })),
+        arguments(
+            "claimer cut off and taken for dead, answer meanwhile, healed",
+            "Ran",
+            1,
+            fault(run -> run.cutOffAndHeal(run.first::complete))),
+        arguments(
+            "claimer cut off and taken for dead, release meanwhile, healed",
+            "Unknown",
+            1,
+            fault(run -> run.cutOffAndHeal(run.first::release))),
+        arguments(
+            "registrar and witness leave as planned",
+            "InProgress",
+            1,
+            fault(
+                run -> {
+                  run.leave(run.registrar);
+                  run.leave(run.witness);
+                  return run.repeat();
+                })),
+        arguments(
+            "all old members leave as planned",
+            "Ran",
+            1,
+            fault(
+                run -> {
+                  run.first.complete();
+                  run.cluster.spread(run.cluster.join("a.5", 1).member, Member.State.ALIVE);
+                  run.leave(run.registrar);
+                  run.leave(run.witness);
+                  run.leave(run.entry);
+                  return run.repeatAt("a.5");
+                })));
+  }
+
+  @ParameterizedTest(name = "{0}")
+  @MethodSource("faults")
+  void shouldTellTheTruthWhen(
+      String name,
+      String told,
+      int dispatches,
+      Function<DispatchedCall, KeyCluster.Attempt> fault) {
+    DispatchedCall run = new DispatchedCall();
+    KeyCluster.Attempt last = fault.apply(run).dispatch();
+    assertThat(last.told()).isEqualTo(told);
+    assertThat(run.cluster.dispatches.get(run.key)).isEqualTo(dispatches);
+  }
+
+  @Test
+  void shouldGrantOneOfTwoWhenViewsDifferAndRepeatsRace() {
+    for (int latency = 0; latency < 12; latency++) {
+      KeyCluster cluster = KeyCluster.of("a.1", "a.2", "a.3");
+      KeyCluster.Node newcomer = cluster.join("a.0", 1);
+      String key = cluster.keyRanked("a.0", "a.1");
+      cluster.nodes.get("a.3").see(newcomer.member);
+      KeyCluster.Attempt old = cluster.begin("a.2", key);
+      cluster.advance(Duration.ofMillis(latency));
+      KeyCluster.Attempt changed = cluster.begin("a.3", key);
+      cluster.advance(Duration.ofSeconds(8));
+      old.dispatch();
+      changed.dispatch();
+      assertThat(cluster.dispatches.getOrDefault(key, 0)).isLessThanOrEqualTo(1);
+    }
+  }
+
+  @Test
+  void shouldGrantOneOfTwoWhenRepeatsRaceOnTwoInstances() {
+    KeyCluster cluster = KeyCluster.of("a.1", "a.2", "a.3");
+    KeyCluster.Attempt one = cluster.begin("a.1", KEY);
+    KeyCluster.Attempt other = cluster.begin("a.2", KEY);
+    cluster.advance(Duration.ofSeconds(1));
+    one.dispatch();
+    other.dispatch();
+    assertThat(cluster.dispatches).containsEntry(KEY, 1);
+  }
+
+  @Test
+  void shouldGrantOnceWhenRegistrarDiesBeforeTheWitnessHasAcknowledged() {
+    for (int micros = 0; micros < 6_000; micros += 500) {
+      KeyCluster cluster = KeyCluster.of("a.1", "a.2", "a.3", "a.4");
+      String key = cluster.keyRanked("a.1", "a.2");
+      final KeyCluster.Attempt first = cluster.begin("a.3", key);
+      cluster.advance(Duration.ofNanos(micros * 1_000L));
+      cluster.crashAndDeclareDead("a.1");
+      cluster.advance(Duration.ofSeconds(5));
+      first.dispatch();
+      cluster.call("a.4", key).dispatch();
+      assertThat(first.told()).isEqualTo("Fresh");
+      assertThat(cluster.dispatches).containsEntry(key, 1);
+    }
+  }
+
+  @Test
+  void shouldNotGrantWithoutWitnessWhenTheOnlyOtherMemberIsFrozen() {
+    KeyCluster cluster = KeyCluster.of("a.1", "a.2");
+    cluster.freeze("a.2");
+    String key = cluster.keyRanked("a.1", "a.2");
+    KeyCluster.Attempt first = cluster.begin("a.1", key);
+    cluster.advance(Duration.ofMillis(500));
+    assertThat(first.told()).isEqualTo("nothing");
+    cluster.declareDead("a.2");
+    cluster.advance(Duration.ofSeconds(1));
+    assertThat(first.told()).isEqualTo("Fresh");
+  }
+
+  /** Two members are lost; a key that may have been theirs is judged by its age. */
+  static Stream<Arguments> keysAfterTwoLosses() {
+    return Stream.of(
+        arguments("without age", Duration.ZERO, false, "Unknown"),
+        arguments("made before the losses", Duration.ofSeconds(-10), true, "Unknown"),
+        arguments("made after the losses", Duration.ofSeconds(3), true, "Fresh"),
+        arguments("without age, past the retention", Duration.ofMinutes(3), false, "Fresh"),
+        arguments("older than the retention", Duration.ofMinutes(-3), true, "Unknown"));
+  }
+
+  @ParameterizedTest(name = "{0}")
+  @MethodSource("keysAfterTwoLosses")
+  void shouldJudgeUnknownKeyByItsAgeWhenTwoMembersWereLost(
+      String name, Duration madeAfterLosses, boolean withAge, String told) {
+    KeyCluster cluster = KeyCluster.of("a.1", "a.2", "a.3", "a.4");
+    cluster.advance(Duration.ofMinutes(5));
+    String key = null;
+    for (int i = 0; key == null; i++) {
+      long made = cluster.timer.epochMillis() + 4_000 + madeAfterLosses.toMillis();
+      String candidate = "a." + (withAge ? timeOrdered(made, i).toString() : "key" + i);
+      key = cluster.registrar(candidate).equals("a.1") ? candidate : null;
+    }
+    cluster.crash("a.2");
+    cluster.crashAndDeclareDead("a.1");
+    cluster.declareDead("a.2");
+    cluster.advance(madeAfterLosses.isNegative() ? Duration.ZERO : madeAfterLosses);
+    assertThat(cluster.call("a.3", key).told()).isEqualTo(told);
+  }
+
+  @Test
+  void shouldGrantUnknownKeyWhenOneMemberWasLost() {
+    KeyCluster cluster = KeyCluster.of("a.1", "a.2", "a.3");
+    String key = cluster.keyRanked("a.1");
+    cluster.crashAndDeclareDead("a.1");
+    assertThat(cluster.call("a.2", key).told()).isEqualTo("Fresh");
+  }
+
+  @Test
+  void shouldTellUnknownWhenTheOnlyMemberThatMayKnowIsLostAfterAnotherJoined() {
+    KeyCluster cluster = KeyCluster.of("a.1");
+    KeyCluster.Attempt first = cluster.call("a.1", KEY).dispatch();
+    assertThat(first.told()).isEqualTo("Fresh");
+    cluster.spread(cluster.join("a.2", 1).member, Member.State.ALIVE);
+    cluster.crashAndDeclareDead("a.1");
+    assertThat(cluster.call("a.2", KEY).told()).isEqualTo("Unknown");
+  }
+
+  @Test
+  void shouldRefuseWithTimeToComeBackWhenHomeDomainIsCutOff() {
+    KeyCluster cluster = KeyCluster.of("a.1", "a.2", "b.1");
+    cluster.peers.cut(InstanceId.of("a.1"), InstanceId.of("b.1"));
+    Failure failure =
+        cluster
+            .call("a.1", "b.key")
+            .future
+            .handle((state, thrown) -> FailureException.unwrap(thrown))
+            .join();
+    assertThat(failure.type()).isEqualTo(FailureType.REGISTRAR_UNAVAILABLE);
+    assertThat(failure.outcome()).isEqualTo(Outcome.UNKNOWN);
+    assertThat(failure.retryAfter()).isPresent();
+    assertThat(cluster.call("a.1", "a.key").told()).isEqualTo("Fresh");
+  }
+
+  @Test
+  void shouldRefuseWhenKeyIsReusedForAnotherRequest() {
+    KeyCluster cluster = KeyCluster.of("a.1", "a.2");
+    KeyedRequest first = cluster.call("a.1", KEY).request;
+    KeyedRequest other = new KeyedRequest(first.id(), first.team(), first.key(), "other", false);
+    var reused = cluster.nodes.get("a.2").ledger.claim(other);
+    cluster.advance(Duration.ofSeconds(1));
+    assertThat(reused.handle((state, thrown) -> FailureException.unwrap(thrown).type()).join())
+        .isEqualTo(FailureType.KEY_REUSED);
+  }
+
+  @Test
+  void shouldLookUpWithoutClaiming() {
+    KeyCluster cluster = KeyCluster.of("a.1", "a.2", "a.3");
+    KeyCluster.Attempt first = cluster.call("a.1", KEY).dispatch();
+    first.complete();
+    var known = cluster.nodes.get("a.2").ledger.lookup(first.request);
+    KeyedRequest unclaimed =
+        new KeyedRequest(first.request.id(), first.request.team(), "a.other", "f", false);
+    var unknown = cluster.nodes.get("a.2").ledger.lookup(unclaimed);
+    cluster.advance(Duration.ofSeconds(1));
+    assertThat(known.join()).isInstanceOf(KeyState.Ran.class);
+    assertThat(unknown.join()).isInstanceOf(KeyState.Fresh.class);
+    assertThat(cluster.call("a.3", "a.other").told()).isEqualTo("Fresh");
+  }
+
+  static UUID timeOrdered(long epochMillis, int random) {
+    return new UUID(epochMillis << 16 | 0x7000, 0x8000000000000000L | random);
+  }
+
+  private static Function<DispatchedCall, KeyCluster.Attempt> fault(
+      Function<DispatchedCall, KeyCluster.Attempt> fault) {
+    return fault;
+  }
+}
