--- /dev/null
+++ b/snipewick/src/test/java/org/snipewick/idempotency/RegistrarLedgerPropertiesTest.java
@@ -0,0 +1,184 @@
+package org.snipewick.idempotency;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+import org.snipewick.membership.Member;
+
+/** Random schedules of calls and faults; views of the members change at different times. */
+class RegistrarLedgerPropertiesTest {
+  private static final int MAX_VIEW_DELAY_MILLIS = 900;
+
+  @Property(tries = 1000, seed = "44", shrinking = ShrinkingMode.OFF)
+  void shouldNeverHaveTwoGrantsOfOneKey(
+      @ForAll long seed, @ForAll @Size(min = 5, max = 35) List<@IntRange(max = 9) Integer> steps) {
+    Schedule schedule = new Schedule(seed);
+    for (int step : steps) {
+      schedule.run(step);
+      schedule.check();
+    }
+    schedule.cluster.advance(Duration.ofSeconds(6));
+    schedule.check();
+  }
+
+  /** A claim that was still being proved at one registrar was once taken for a grant by another. */
+  @Test
+  void shouldNotTakeAnUnprovedClaimForGrantedWhenFoundByAnotherRegistrar() {
+    List<Integer> steps =
+        List.of(6, 6, 7, 8, 2, 1, 6, 1, 3, 6, 5, 7, 3, 5, 3, 8, 4, 4, 3, 5, 8, 9, 2, 8, 2, 4, 9, 2);
+    shouldNeverHaveTwoGrantsOfOneKey(26239, steps);
+  }
+
+  private static final class Schedule {
+    final KeyCluster cluster = KeyCluster.of("a.1", "a.2", "a.3", "a.4", "b.1");
+    private final List<KeyCluster.Attempt> attempts = new ArrayList<>();
+    private final List<KeyCluster.Attempt> released = new ArrayList<>();
+    private final Random random;
+    private long incarnations = 1;
+
+    Schedule(long seed) {
+      random = new Random(seed);
+    }
+
+    void run(int step) {
+      switch (step) {
+        case 0, 1, 2, 3 -> claim();
+        case 4 -> finish(false);
+        case 5 -> finish(true);
+        case 6 -> crash();
+        case 7 -> freeze();
+        case 8 -> restart();
+        default -> cluster.advance(Duration.ofMillis(random.nextInt(400)));
+      }
+      cluster.advance(Duration.ofMillis(random.nextInt(20)));
+    }
+
+    void check() {
+      for (String key : List.of("a.x", "a.y")) {
+        long granted =
+            attempts.stream()
+                .filter(attempt -> attempt.request.key().equals(key))
+                .filter(attempt -> attempt.told().equals("Fresh"))
+                .filter(attempt -> !released.contains(attempt))
+                .count();
+        assertThat(granted).as("grants of " + key).isLessThanOrEqualTo(1);
+      }
+    }
+
+    private void claim() {
+      String key = random.nextBoolean() ? "a.x" : "a.y";
+      pick(true).ifPresent(node -> attempts.add(cluster.begin(nameOf(node), key)));
+    }
+
+    private void finish(boolean release) {
+      List<KeyCluster.Attempt> open =
+          attempts.stream()
+              .filter(attempt -> attempt.told().equals("Fresh") && !released.contains(attempt))
+              .filter(attempt -> attempt.node.running && !attempt.node.frozen)
+              .toList();
+      if (open.isEmpty()) {
+        return;
+      }
+      KeyCluster.Attempt attempt = open.get(random.nextInt(open.size()));
+      if (release && !cluster.dispatches.containsKey(attempt.request.id().toString())) {
+        released.add(attempt);
+        attempt.release();
+      } else {
+        cluster.dispatches.put(attempt.request.id().toString(), 1);
+        attempt.complete();
+      }
+    }
+
+    private void crash() {
+      pick(true)
+          .ifPresent(
+              node -> {
+                cluster.crash(nameOf(node));
+                soon(KeyCluster.DEATH_TIMEOUT, node, Member.State.DEAD);
+              });
+    }
+
+    private void freeze() {
+      pick(true)
+          .ifPresent(
+              node -> {
+                cluster.freeze(nameOf(node));
+                soon(KeyCluster.DEATH_TIMEOUT, node, Member.State.DEAD);
+                Duration frozen = Duration.ofMillis(3_000 + random.nextInt(4_000));
+                var unused = cluster.timer.after(frozen, () -> wake(node));
+              });
+    }
+
+    private void wake(KeyCluster.Node node) {
+      if (node.running) {
+        cluster.wake(nameOf(node));
+        Duration regained = Duration.ofMillis(random.nextInt(MAX_VIEW_DELAY_MILLIS));
+        var unused =
+            cluster.timer.after(
+                regained,
+                () -> {
+                  if (node.running && !node.frozen) {
+                    cluster.nodes.values().stream()
+                        .filter(other -> other.running)
+                        .forEach(other -> node.see(other.member));
+                    cluster.regain(nameOf(node));
+                  }
+                });
+      }
+    }
+
+    private void restart() {
+      List<String> dead =
+          cluster.nodes.entrySet().stream()
+              .filter(entry -> !entry.getValue().running)
+              .map(entry -> entry.getKey())
+              .toList();
+      if (!dead.isEmpty()) {
+        String name = dead.get(random.nextInt(dead.size()));
+        KeyCluster.Node node = cluster.join(name, ++incarnations);
+        soon(Duration.ZERO, node, Member.State.ALIVE);
+      }
+    }
+
+    /** Lets each running instance see a change at a time of its own. */
+    private void soon(Duration delay, KeyCluster.Node changed, Member.State state) {
+      for (KeyCluster.Node observer : cluster.nodes.values()) {
+        Duration seen = delay.plusMillis(random.nextInt(MAX_VIEW_DELAY_MILLIS));
+        var unused =
+            cluster.timer.after(
+                seen,
+                () -> {
+                  boolean current = cluster.nodes.get(nameOf(changed)) == changed;
+                  boolean awake = observer.running && !observer.frozen && observer != changed;
+                  if (current && awake) {
+                    observer.see(changed.member.withState(state));
+                  }
+                });
+      }
+    }
+
+    private Optional<KeyCluster.Node> pick(boolean awake) {
+      List<KeyCluster.Node> candidates =
+          cluster.nodes.values().stream()
+              .filter(node -> node.running && node.frozen != awake)
+              .toList();
+      return candidates.isEmpty()
+          ? Optional.empty()
+          : Optional.of(candidates.get(random.nextInt(candidates.size())));
+    }
+
+    private static String nameOf(KeyCluster.Node node) {
+      return node.member.id().value();
+    }
+  }
+}
--- /dev/null
+++ b/snipewick/src/test/java/org/snipewick/idempotency/TableRequestLedgerTest.java
@@ -0,0 +1,277 @@
+package org.snipewick.idempotency;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.junit.jupiter.params.provider.Arguments.arguments;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.snipewick.event.EventLog;
+import org.snipewick.failure.Failure;
+import org.snipewick.failure.FailureException;
+import org.snipewick.failure.FailureType;
+import org.snipewick.failure.Outcome;
+import org.snipewick.identity.InstanceId;
+import org.snipewick.identity.RequestId;
+import org.snipewick.identity.TeamName;
+import org.snipewick.membership.Member;
+import org.snipewick.membership.MembershipView;
+import org.snipewick.membership.SettableMembership;
+import org.snipewick.platform.InMemoryTable;
+import org.snipewick.platform.InMemoryTable.Fault;
+import org.snipewick.time.VirtualTimerService;
+
+class TableRequestLedgerTest {
+  private static final StoredAnswer ANSWER = new StoredAnswer(200, "text/plain", "booked");
+
+  private final VirtualTimerService timer = VirtualTimerService.of(1_800_000_000_000L);
+  private final InMemoryTable table = new InMemoryTable();
+  private final SettableMembership membership =
+      new SettableMembership(SettableMembership.viewOf("a.1", "a.1", "a.2"));
+  private final SettableMembership otherMembership =
+      new SettableMembership(SettableMembership.viewOf("a.2", "a.1", "a.2"));
+  private final TableRequestLedger ledger = ledger(membership, 1);
+  private final TableRequestLedger other = ledger(otherMembership, 2);
+  private final KeyedRequest first = request("a.1", 1, "key");
+  private final KeyedRequest repeat = request("a.2", 1, "key");
+  private final KeyedRequest repeatHere = request("a.1", 2, "key");
+
+  static Stream<Arguments> repeats() {
+    return Stream.of(
+        arguments("while the first runs", "InProgress", act(test -> {})),
+        arguments("after the answer", "Ran", act(TableRequestLedgerTest::complete)),
+        arguments("after a release", "Fresh", act(TableRequestLedgerTest::release)),
+        arguments(
+            "after an end that is not known",
+            "Unknown",
+            act(test -> test.await(test.ledger.markUnknown(test.first)))),
+        arguments(
+            "after a large answer",
+            "RanWithoutAnswer",
+            act(
+                test ->
+                    test.await(
+                        test.ledger.complete(
+                            test.first, new StoredAnswer(200, "text/plain", "x".repeat(70_000)))))),
+        arguments(
+            "after the death of the first instance",
+            "Unknown",
+            act(test -> test.loseFirst(Member.State.DEAD, 1))),
+        arguments(
+            "after a restart of the first instance",
+            "Unknown",
+            act(test -> test.loseFirst(Member.State.ALIVE, 2))),
+        arguments(
+            "after a planned stop began",
+            "InProgress",
+            act(test -> test.loseFirst(Member.State.LEAVING, 1))),
+        arguments(
+            "after the answer's write lost its answer",
+            "Ran",
+            act(test -> test.during(Fault.LOST_ANSWER, TableRequestLedgerTest::complete))),
+        arguments(
+            "after the answer's write was lost",
+            "Ran",
+            act(test -> test.during(Fault.LOST_WRITE, TableRequestLedgerTest::complete))),
+        arguments(
+            "after an outage at the answer",
+            "Ran",
+            act(test -> test.during(Fault.OUTAGE, TableRequestLedgerTest::complete))),
+        arguments(
+            "after the release lost its answer",
+            "Fresh",
+            act(test -> test.during(Fault.LOST_ANSWER, TableRequestLedgerTest::release))),
+        arguments(
+            "after the release was lost",
+            "Fresh",
+            act(test -> test.during(Fault.LOST_WRITE, TableRequestLedgerTest::release))),
+        arguments(
+            "after an outage at the release",
+            "Fresh",
+            act(test -> test.during(Fault.OUTAGE, TableRequestLedgerTest::release))));
+  }
+
+  @ParameterizedTest(name = "repeat {0}")
+  @MethodSource("repeats")
+  void shouldTellTheTruthWhenRepeated(
+      String name, String told, Consumer<TableRequestLedgerTest> before) {
+    assertThat(told(ledger.claim(first))).isEqualTo("Fresh");
+    before.accept(this);
+    timer.advance(Duration.ofMinutes(1));
+    assertThat(told(other.claim(repeat))).isEqualTo(told);
+  }
+
+  /** A fault of the table during the first claim; then what it and a later repeat are told. */
+  static Stream<Arguments> claims() {
+    return Stream.of(
+        arguments(Fault.LOST_ANSWER, Duration.ZERO, "PLATFORM_UNAVAILABLE", "Fresh"),
+        arguments(Fault.LOST_ANSWER, Duration.ofMillis(120), "Fresh", "InProgress"),
+        arguments(Fault.LOST_WRITE, Duration.ZERO, "PLATFORM_UNAVAILABLE", "Fresh"),
+        arguments(Fault.LOST_WRITE, Duration.ofMillis(120), "Fresh", "InProgress"),
+        arguments(Fault.OUTAGE, Duration.ZERO, "PLATFORM_UNAVAILABLE", "Fresh"));
+  }
+
+  @ParameterizedTest(name = "{0}, healed after {1}")
+  @MethodSource("claims")
+  void shouldResolveOrRefuseWhenInsertionIsInDoubt(
+      Fault fault, Duration healedAfter, String told, String toldLater) {
+    table.fault(fault);
+    CompletableFuture<KeyState> claim = ledger.claim(first);
+    if (!healedAfter.isZero()) {
+      timer.advance(healedAfter);
+      table.fault(Fault.NONE);
+    }
+    timer.advance(Duration.ofSeconds(3));
+    assertThat(told(claim)).isEqualTo(told);
+    table.fault(Fault.NONE);
+    timer.advance(Duration.ofMinutes(6));
+    assertThat(told(other.claim(repeat))).isEqualTo(toldLater);
+  }
+
+  @Test
+  void shouldNeverGrantAgainWhenDoubtfulInsertionLandsAndItsInstanceDies() {
+    table.fault(Fault.LOST_ANSWER);
+    CompletableFuture<KeyState> refused = ledger.claim(first);
+    timer.advance(Duration.ofSeconds(2));
+    assertThat(told(refused)).isEqualTo("PLATFORM_UNAVAILABLE");
+    table.fault(Fault.NONE);
+    loseFirst(Member.State.DEAD, 1);
+    assertThat(told(other.claim(repeat))).isEqualTo("Unknown");
+  }
+
+  @Test
+  void shouldGrantAgainAtOnceWhenOwnDoubtfulInsertionIsFound() {
+    table.fault(Fault.LOST_ANSWER);
+    CompletableFuture<KeyState> refused = ledger.claim(first);
+    timer.advance(Duration.ofSeconds(2));
+    assertThat(told(refused)).isEqualTo("PLATFORM_UNAVAILABLE");
+    table.fault(Fault.NONE);
+    assertThat(told(ledger.claim(repeatHere))).isEqualTo("Fresh");
+    assertThat(told(other.claim(repeat))).isEqualTo("InProgress");
+  }
+
+  @Test
+  void shouldRefuseAtOnceWithTimeToComeBackWhenPlatformIsKnownToBeDown() {
+    table.fault(Fault.OUTAGE);
+    for (int i = 0; i < 3; i++) {
+      Failure failure = failureOf(ledger.claim(request("a.1", 10 + i, "key" + i)));
+      assertThat(failure.type()).isEqualTo(FailureType.PLATFORM_UNAVAILABLE);
+      assertThat(failure.outcome()).isEqualTo(Outcome.UNKNOWN);
+      assertThat(failure.retryAfter()).isPresent();
+    }
+    table.fault(Fault.NONE);
+    timer.advance(Duration.ofSeconds(1));
+    assertThat(told(ledger.claim(first))).isEqualTo("Fresh");
+  }
+
+  @Test
+  void shouldAnswerFromMemoryWhenOutcomeIsNotStoredYet() {
+    assertThat(told(ledger.claim(first))).isEqualTo("Fresh");
+    table.fault(Fault.LOST_WRITE);
+    complete(this);
+    table.fault(Fault.NONE);
+    assertThat(told(ledger.claim(repeatHere))).isEqualTo("Ran");
+  }
+
+  @Test
+  void shouldRefuseWhenKeyIsReusedForAnotherRequest() {
+    assertThat(told(ledger.claim(first))).isEqualTo("Fresh");
+    KeyedRequest reused = new KeyedRequest(repeat.id(), repeat.team(), repeat.key(), "other", true);
+    assertThat(told(other.claim(reused))).isEqualTo("KEY_REUSED");
+  }
+
+  @Test
+  void shouldGrantOnceWhenTwoInstancesRace() {
+    CompletableFuture<KeyState> one = ledger.claim(first);
+    CompletableFuture<KeyState> two = other.claim(repeat);
+    assertThat(told(one) + told(two)).isEqualTo("FreshInProgress");
+  }
+
+  @Test
+  void shouldLookUpWithoutClaiming() {
+    assertThat(told(other.lookup(repeat))).isEqualTo("Fresh");
+    assertThat(told(ledger.claim(first))).isEqualTo("Fresh");
+    assertThat(told(other.lookup(repeat))).isEqualTo("InProgress");
+    complete(this);
+    assertThat(told(other.lookup(repeat))).isEqualTo("Ran");
+  }
+
+  @Test
+  void shouldDeleteRowWhenItIsOlderThanItsRetention() {
+    assertThat(told(ledger.claim(first))).isEqualTo("Fresh");
+    complete(this);
+    String row = TableRequestLedger.rowKey(first.scopedKey());
+    IntentSweep sweep = IntentSweep.start(table, membership, timer, LedgerSettings.defaults());
+    String shard = row.substring("intent/".length(), "intent/".length() + 4);
+    sweep.sweep(shard);
+    assertThat(table.peek(row)).isPresent();
+    timer.advance(Duration.ofHours(25));
+    sweep.sweep(shard);
+    assertThat(table.peek(row)).isEmpty();
+  }
+
+  private static void complete(TableRequestLedgerTest test) {
+    test.await(test.ledger.complete(test.first, ANSWER));
+  }
+
+  private static void release(TableRequestLedgerTest test) {
+    test.await(test.ledger.releaseNotRun(test.first));
+  }
+
+  private void during(Fault fault, Consumer<TableRequestLedgerTest> action) {
+    table.fault(fault);
+    action.accept(this);
+    timer.advance(Duration.ofSeconds(30));
+    table.fault(Fault.NONE);
+  }
+
+  private void loseFirst(Member.State state, long incarnation) {
+    MembershipView view = otherMembership.view();
+    Member lost = view.members().get(InstanceId.of("a.1"));
+    Member changed =
+        new Member(lost.id(), lost.domain(), lost.host(), lost.port(), incarnation, state);
+    otherMembership.change(
+        MembershipView.ofAll(view.self(), List.of(changed, view.members().get(view.self()))));
+  }
+
+  private void await(CompletableFuture<Void> action) {
+    timer.advance(Duration.ofSeconds(2));
+    assertThat(action).isDone();
+  }
+
+  private TableRequestLedger ledger(SettableMembership members, int seed) {
+    return TableRequestLedger.of(
+        table, members, timer, new Random(seed), EventLog.none(), LedgerSettings.defaults());
+  }
+
+  private static KeyedRequest request(String instance, long sequence, String key) {
+    RequestId id = RequestId.of(InstanceId.of(instance), 1, sequence);
+    return new KeyedRequest(id, TeamName.of("team"), key, "f", true);
+  }
+
+  private static Failure failureOf(CompletableFuture<KeyState> future) {
+    return future.handle((state, failure) -> FailureException.unwrap(failure)).join();
+  }
+
+  private static String told(CompletableFuture<KeyState> future) {
+    assertThat(future).isDone();
+    return future
+        .handle(
+            (state, failure) ->
+                failure == null
+                    ? state.getClass().getSimpleName()
+                    : FailureException.unwrap(failure).type().name())
+        .join();
+  }
+
+  private static Consumer<TableRequestLedgerTest> act(Consumer<TableRequestLedgerTest> action) {
+    return action;
+  }
+}
--- /dev/null
+++ b/snipewick/src/test/java/org/snipewick/lease/LeaseFaultsTest.java
@@ -0,0 +1,177 @@
+package org.snipewick.lease;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.junit.jupiter.params.provider.Arguments.arguments;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.snipewick.event.EventLog;
+import org.snipewick.failure.FailureException;
+import org.snipewick.failure.FailureType;
+import org.snipewick.identity.EndpointId;
+import org.snipewick.identity.InstanceId;
+import org.snipewick.platform.InMemoryTable;
+import org.snipewick.platform.InMemoryTable.Fault;
+import org.snipewick.pool.EndpointStatus;
+import org.snipewick.time.ProcessTimer;
+import org.snipewick.time.VirtualTimerService;
+
+class LeaseFaultsTest {
+  private static final LeaseSettings SETTINGS = LeaseSettings.defaults();
+  private static final EndpointStatus ENDPOINT = EndpointStatus.unreachable(EndpointId.of("e.1"));
+  private static final EndpointOrder ORDER = EndpointOrder.of(EndpointOrder.Kind.LOAD, "model");
+
+  private final VirtualTimerService clock = VirtualTimerService.of(1_800_000_000_000L);
+  private final InMemoryTable table = new InMemoryTable();
+  private final ProcessTimer holderProcess = new ProcessTimer(clock);
+  private final ProcessTimer waiterProcess = new ProcessTimer(clock);
+
+  /** Kind of endpoint, and for how long the holder is paused. */
+  static Stream<Arguments> pauses() {
+    return Stream.of(true, false)
+        .flatMap(checks -> Stream.of(1, 7, 9, 12, 20, 60).map(pause -> arguments(checks, pause)));
+  }
+
+  @ParameterizedTest(name = "endpoint checks fencing: {0}, pause of {1} s")
+  @MethodSource("pauses")
+  void shouldTakeOrdersInTurnOfHoldersWhenOneIsPaused(boolean checks, int pauseSeconds) {
+    FakeEndpoint endpoint = new FakeEndpoint(clock, checks);
+    endpoint.delay = SETTINGS.longestOrder();
+    OrderController holder = orders("a.1", holderProcess, endpoint);
+    OrderController waiter = orders("a.2", waiterProcess, endpoint);
+    holder.want("pool");
+    waiter.want("pool");
+    clock.advance(Duration.ofSeconds(4));
+    assertThat(holder.order("pool", ENDPOINT, ORDER)).isNotCompletedExceptionally();
+    holderProcess.pause();
+    for (int second = 0; second < pauseSeconds; second++) {
+      clock.advance(Duration.ofSeconds(1));
+      var unused = waiter.order("pool", ENDPOINT, ORDER);
+    }
+    final var first = holder.order("pool", ENDPOINT, ORDER);
+    holderProcess.resume();
+    for (int second = 0; second < 40; second++) {
+      var unused = holder.order("pool", ENDPOINT, ORDER);
+      unused = waiter.order("pool", ENDPOINT, ORDER);
+      clock.advance(Duration.ofMillis(700));
+    }
+    assertThat(endpoint.effects).isSorted();
+    assertThat(first.isCompletedExceptionally()).isEqualTo(pauseSeconds >= 7);
+  }
+
+  @Test
+  void shouldTakeOverWithHigherFencingNumberOnlyAfterDurationAndLongestOrder() {
+    OrderController holder = orders("a.1", holderProcess, new FakeEndpoint(clock, false));
+    LeaseController waiter = leases("a.2", waiterProcess);
+    holder.want("pool");
+    waiter.want("orders.pool");
+    clock.advance(Duration.ofSeconds(3));
+    holderProcess.pause();
+    clock.advance(SETTINGS.duration().plus(SETTINGS.longestOrder()).minusMillis(1));
+    assertThat(waiter.held("orders.pool")).isEmpty();
+    clock.advance(SETTINGS.period().multipliedBy(2));
+    assertThat(waiter.held("orders.pool")).get().extracting(Lease::fencing).isEqualTo(2L);
+  }
+
+  @Test
+  void shouldTakeLapsedLeaseOverWhenWaiterGivesUpBetweenItsTries() {
+    LeaseController holder = leases("a.1", holderProcess);
+    LeaseController waiter = leases("a.2", waiterProcess);
+    holder.want("duty");
+    holderProcess.pause();
+    boolean held = false;
+    for (int attempt = 0; attempt < 8 && !held; attempt++) {
+      waiter.want("duty");
+      clock.advance(Duration.ofSeconds(3));
+      held = waiter.held("duty").isPresent();
+      if (!held) {
+        waiter.giveUp("duty").join();
+      }
+    }
+    assertThat(waiter.held("duty")).get().extracting(Lease::fencing).isEqualTo(2L);
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"OUTAGE", "LOST_ANSWER", "LOST_WRITE"})
+  void shouldRunOutByItselfAndComeBackWhenThePlatformFails(String fault) {
+    LeaseController holder = leases("a.1", holderProcess);
+    holder.want("duty");
+    clock.advance(Duration.ofSeconds(3));
+    assertThat(holder.held("duty")).isPresent();
+    table.fault(Fault.valueOf(fault));
+    clock.advance(SETTINGS.duration().minus(SETTINGS.margin()));
+    assertThat(holder.held("duty")).isEmpty();
+    table.fault(Fault.NONE);
+    clock.advance(SETTINGS.period().multipliedBy(2));
+    assertThat(holder.held("duty")).get().extracting(Lease::fencing).isEqualTo(1L);
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"LOST_ANSWER", "LOST_WRITE"})
+  void shouldResolveByReadingBackWhenTheFirstWriteIsInDoubt(String fault) {
+    LeaseController holder = leases("a.1", holderProcess);
+    table.fault(Fault.valueOf(fault));
+    holder.want("duty");
+    assertThat(holder.held("duty")).isEmpty();
+    table.fault(Fault.NONE);
+    clock.advance(SETTINGS.period());
+    assertThat(holder.held("duty")).get().extracting(Lease::fencing).isEqualTo(1L);
+  }
+
+  @Test
+  void shouldBeTakenAtOnceWithHigherFencingNumberWhenGivenUpAfterTheLastOrder() {
+    FakeEndpoint endpoint = new FakeEndpoint(clock, false);
+    endpoint.delay = Duration.ofSeconds(4);
+    OrderController holder = orders("a.1", holderProcess, endpoint);
+    LeaseController waiter = leases("a.2", waiterProcess);
+    holder.want("pool");
+    waiter.want("orders.pool");
+    final var order = holder.order("pool", ENDPOINT, ORDER);
+    final CompletableFuture<Void> givenUp = holder.giveUp("pool");
+    clock.advance(Duration.ofSeconds(3));
+    assertThat(waiter.held("orders.pool")).isEmpty();
+    clock.advance(Duration.ofSeconds(3));
+    assertThat(order).isCompleted();
+    assertThat(givenUp).isCompleted();
+    assertThat(waiter.held("orders.pool")).get().extracting(Lease::fencing).isEqualTo(2L);
+  }
+
+  @Test
+  void shouldNotHoldWhenRestartedUnderTheSameName() {
+    LeaseController holder = leases("a.1", holderProcess);
+    holder.want("duty");
+    holderProcess.pause();
+    LeaseController restarted =
+        LeaseController.start(
+            table, InstanceId.of("a.1"), 2, waiterProcess, EventLog.none(), SETTINGS);
+    restarted.want("duty");
+    clock.advance(SETTINGS.duration());
+    assertThat(restarted.held("duty")).isEmpty();
+    clock.advance(SETTINGS.longestOrder().plus(SETTINGS.period().multipliedBy(2)));
+    assertThat(restarted.held("duty")).get().extracting(Lease::fencing).isEqualTo(2L);
+  }
+
+  @Test
+  void shouldRefuseOrderWhenLeaseIsNotHeld() {
+    FakeEndpoint endpoint = new FakeEndpoint(clock, false);
+    var refused = orders("a.1", holderProcess, endpoint).order("pool", ENDPOINT, ORDER);
+    assertThat(refused.handle((done, thrown) -> FailureException.unwrap(thrown).type()).join())
+        .isEqualTo(FailureType.LEASE_NOT_HELD);
+    assertThat(endpoint.effects).isEmpty();
+  }
+
+  private OrderController orders(String instance, ProcessTimer process, FakeEndpoint endpoint) {
+    return OrderController.of(leases(instance, process), endpoint, EventLog.none(), SETTINGS);
+  }
+
+  private LeaseController leases(String instance, ProcessTimer process) {
+    return LeaseController.start(
+        table, InstanceId.of(instance), 1, process, EventLog.none(), SETTINGS);
+  }
+}
--- /dev/null
+++ b/snipewick/src/test/java/org/snipewick/limits/LimitBytesTest.java
@@ -0,0 +1,100 @@
+package org.snipewick.limits;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.snipewick.catalogue.Catalogue;
+import org.snipewick.catalogue.CatalogueSource;
+import org.snipewick.catalogue.Entry;
+import org.snipewick.identity.InstanceId;
+import org.snipewick.identity.TeamName;
+import org.snipewick.identity.Tier;
+import org.snipewick.membership.SettableMembership;
+import org.snipewick.peer.Frame;
+import org.snipewick.peer.InMemoryPeers;
+import org.snipewick.peer.MessageBytes;
+import org.snipewick.peer.MeteredNetwork;
+import org.snipewick.peer.PeerCodec;
+import org.snipewick.peer.PeerMessage;
+import org.snipewick.time.VirtualTimerService;
+
+class LimitBytesTest {
+  private static final TeamName TEAM = TeamName.of("dispatchers");
+  private static final String[] NAMES = {"wien-a.1", "wien-a.2", "wien-b.1", "wien-b.2"};
+  private static final int TOKENS = 460;
+  private static final int ROUNDS = 10;
+  private static final Duration ANSWER = Duration.ofSeconds(5);
+
+  private final VirtualTimerService timer = VirtualTimerService.of(0);
+  private final MessageBytes bytes = new MessageBytes();
+  private final Map<String, LeasedTeamLimits> limits = new HashMap<>();
+
+  LimitBytesTest() {
+    InMemoryPeers peers = new InMemoryPeers(timer, Duration.ofMillis(1));
+    PeerCodec codec = PeerCodec.ofAll(LimitMessages.MESSAGE_TYPES);
+    Entry.Team team = new Entry.Team(TEAM.value(), "owner", Tier.ONE, "00", 1_000, 10, 20);
+    for (String name : NAMES) {
+      InstanceId id = InstanceId.of(name);
+      limits.put(
+          name,
+          LeasedTeamLimits.start(
+              new SettableMembership(SettableMembership.viewOf(name, NAMES)),
+              new MeteredNetwork(id, peers.join(id), codec, bytes),
+              timer,
+              new Fixed(Catalogue.ofAll(1, List.of(team)))));
+    }
+  }
+
+  static List<PeerMessage> messages() {
+    return List.of(
+        new LimitMessages.Demands(List.of(new LimitMessages.Demand(TEAM, 0.5f, 0.25f))),
+        new LimitMessages.Shares(List.of(new LimitMessages.Share(TEAM, 0.5f))));
+  }
+
+  @ParameterizedTest
+  @MethodSource("messages")
+  void shouldKeepItsValueWhenEncodedAndDecoded(PeerMessage message) {
+    PeerCodec codec = PeerCodec.ofAll(LimitMessages.MESSAGE_TYPES);
+    Frame frame = new Frame.Send(message);
+    assertThat(codec.decode(codec.encode(frame))).isEqualTo(frame);
+  }
+
+  /** Instances that get a request each time, most bytes between all instances for each request. */
+  @ParameterizedTest
+  @CsvSource({"1, 300", "3, 450"})
+  void shouldStayWithinBoundOfBytesWhenRequestsAreFew(int instances, int most) {
+    askAtEach(instances);
+    bytes.clear();
+    for (int i = 0; i < ROUNDS; i++) {
+      askAtEach(instances);
+    }
+
+    long sum = bytes.all().values().stream().mapToLong(Long::longValue).sum() / 2;
+    long each = sum / ROUNDS / instances;
+    System.out.println("bytes of limit messages for each of few requests: " + each);
+    assertThat(each).isLessThan(most);
+  }
+
+  private void askAtEach(int instances) {
+    for (String name : List.of(NAMES).subList(0, instances)) {
+      LeasedTeamLimits asked = limits.get(name);
+      assertThat(asked.tryAcquire(TEAM, TOKENS)).isEmpty();
+      timer.after(ANSWER, () -> asked.release(TEAM, TOKENS, TOKENS));
+    }
+    timer.advance(Duration.ofSeconds(20));
+  }
+
+  private record Fixed(Catalogue current) implements CatalogueSource {
+    @Override
+    public void subscribe(Consumer<Catalogue> listener) {
+      // Never changes.
+    }
+  }
+}
--- /dev/null
+++ b/snipewick/src/test/java/org/snipewick/membership/MembershipControllerTest.java
@@ -0,0 +1,243 @@
+package org.snipewick.membership;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.snipewick.identity.InstanceId;
+
+class MembershipControllerTest {
+  private static final Duration SETTLING = Duration.ofSeconds(15);
+
+  private final Cluster cluster = Cluster.of(7);
+
+  @BeforeEach
+  void startTwoDomains() {
+    cluster.list("wien.1", "wien.2", "wien.3", "linz.1", "linz.2");
+    cluster.start("wien.1", "wien.2", "wien.3", "linz.1", "linz.2");
+    cluster.advance(SETTLING);
+  }
+
+  private boolean standing(String name) {
+    return cluster.node(name).membership().hasStanding();
+  }
+
+  private List<Loss> losses(String name) {
+    return cluster.node(name).membership().recentLosses();
+  }
+
+  @Test
+  void shouldSeeAllAliveWithStandingWhenStarted() {
+    for (Cluster.Node node : cluster.nodes()) {
+      assertThat(node.membership().hasStanding()).as(node.id().value()).isTrue();
+      for (Cluster.Node other : cluster.nodes()) {
+        assertThat(cluster.seen(node.id().value(), other.id().value())).isEqualTo("ALIVE");
+      }
+    }
+  }
+
+  /** Event, state seen within the domain after 3 s, elsewhere after 15 s, losses listed. */
+  @ParameterizedTest(name = "{0}")
+  @CsvSource({
+    "crash, DEAD, DEAD, 1",
+    "pause, DEAD, DEAD, 1",
+    "short pause, ALIVE, ALIVE, 0",
+    "leave, LEAVING, LEAVING, 0",
+    "leave and depart, DEAD, DEAD, 0",
+    "leave and crash, DEAD, DEAD, 1",
+    "quick restart, ALIVE, ALIVE, 1",
+    "crash and later restart, ALIVE, ALIVE, 1"
+  })
+  void shouldAgreeOnMemberWhenItsStateChanges(
+      String event, String inDomain, String elsewhere, int losses) {
+    MembershipController changing = cluster.node("wien.2").membership();
+    switch (event) {
+      case "crash" -> cluster.crash("wien.2");
+      case "pause" -> cluster.pause("wien.2");
+      case "short pause" -> {
+        cluster.pause("wien.2");
+        cluster.advance(Duration.ofMillis(900));
+        cluster.resume("wien.2");
+      }
+      case "leave" -> changing.announceLeaving();
+      case "leave and depart" -> {
+        changing.announceLeaving();
+        cluster.advance(Duration.ofSeconds(1));
+        changing.depart();
+      }
+      case "leave and crash" -> {
+        changing.announceLeaving();
+        cluster.advance(Duration.ofSeconds(1));
+        cluster.crash("wien.2");
+      }
+      case "quick restart" -> {
+        cluster.crash("wien.2");
+        cluster.start("wien.2");
+      }
+      default -> {
+        cluster.crash("wien.2");
+        cluster.advance(Duration.ofSeconds(4));
+        cluster.start("wien.2");
+      }
+    }
+    cluster.advance(Duration.ofSeconds(3));
+    assertThat(cluster.seen("wien.1", "wien.2")).isEqualTo(inDomain);
+    assertThat(cluster.seen("wien.3", "wien.2")).isEqualTo(inDomain);
+    assertThat(losses("wien.1")).hasSize(losses);
+    cluster.advance(SETTLING);
+    assertThat(cluster.seen("linz.1", "wien.2")).isEqualTo(elsewhere);
+    assertThat(cluster.seen("linz.2", "wien.2")).isEqualTo(elsewhere);
+    assertThat(losses("linz.1")).isEmpty();
+  }
+
+  @ParameterizedTest
+  @ValueSource(longs = {1_100, 1_600, 2_500, 10_000, 3_600_000})
+  void shouldLackStandingAtWakeUntilFullRoundWhenPaused(long pausedMillis) {
+    final long since = cluster.node("wien.2").membership().standingSinceEpochMillis();
+    cluster.pause("wien.2");
+    cluster.advance(Duration.ofMillis(pausedMillis));
+    assertThat(standing("wien.2")).as("before any task runs").isFalse();
+    cluster.resume("wien.2");
+    assertThat(standing("wien.2")).as("after the held tasks").isFalse();
+    cluster.advance(Duration.ofSeconds(6));
+    assertThat(standing("wien.2")).isTrue();
+    assertThat(cluster.node("wien.2").membership().standingSinceEpochMillis())
+        .isGreaterThanOrEqualTo(since + pausedMillis);
+    assertThat(cluster.seen("wien.1", "wien.2")).isEqualTo("ALIVE");
+    assertThat(losses("wien.1")).as("returned with the same incarnation").isEmpty();
+  }
+
+  @Test
+  void shouldNotGainStandingBeforeSilentNeighbourIsDeclaredDeadWhenBothWerePaused() {
+    cluster.pause("wien.1");
+    cluster.pause("wien.2");
+    cluster.advance(Duration.ofSeconds(5));
+    cluster.resume("wien.1");
+    cluster.advance(Duration.ofMillis(1_400));
+    assertThat(standing("wien.1")).isFalse();
+    cluster.advance(Duration.ofSeconds(3));
+    assertThat(standing("wien.1")).isTrue();
+    assertThat(cluster.seen("wien.1", "wien.2")).isEqualTo("DEAD");
+  }
+
+  @Test
+  void shouldHaveNoStandingBeforeFirstRoundWhenJoining() {
+    cluster.list("wien.4");
+    cluster.start("wien.4");
+    assertThat(standing("wien.4")).isFalse();
+    cluster.advance(Duration.ofMillis(600));
+    assertThat(standing("wien.4")).isFalse();
+    cluster.advance(Duration.ofSeconds(4));
+    assertThat(standing("wien.4")).isTrue();
+    assertThat(standing("wien.1")).as("others keep theirs").isTrue();
+  }
+
+  @Test
+  void shouldTellJoiningMemberOfLossesWhenItWasNotThere() {
+    cluster.crash("wien.2");
+    cluster.advance(Duration.ofSeconds(4));
+    cluster.list("wien.4");
+    cluster.start("wien.4");
+    cluster.advance(Duration.ofSeconds(6));
+    assertThat(losses("wien.4")).extracting(Loss::id).containsExactly(InstanceId.of("wien.2"));
+    assertThat(losses("wien.4")).isEqualTo(losses("wien.1"));
+  }
+
+  @Test
+  void shouldDropLossWhenRetentionTimeHasPassed() {
+    cluster.crash("wien.2");
+    cluster.advance(Duration.ofMinutes(59));
+    assertThat(losses("wien.1")).hasSize(1);
+    cluster.advance(Duration.ofMinutes(2));
+    assertThat(losses("wien.1")).isEmpty();
+  }
+
+  @Test
+  void shouldKeepServingAndRejoinWhenDomainsAreCutAndHealed() {
+    cluster.cut("wien", "linz");
+    cluster.advance(Duration.ofSeconds(10));
+    assertThat(cluster.seen("wien.1", "linz.1")).isEqualTo("DEAD");
+    assertThat(cluster.seen("linz.1", "wien.1")).isEqualTo("DEAD");
+    assertThat(standing("wien.1")).isTrue();
+    assertThat(standing("linz.1")).isTrue();
+    cluster.crash("wien.3");
+    cluster.advance(Duration.ofMinutes(60));
+    cluster.heal("wien", "linz");
+    cluster.advance(Duration.ofSeconds(10));
+    assertThat(cluster.seen("wien.1", "linz.1")).isEqualTo("ALIVE");
+    assertThat(cluster.seen("linz.1", "wien.1")).isEqualTo("ALIVE");
+    assertThat(cluster.seen("linz.2", "wien.3")).isEqualTo("DEAD");
+  }
+
+  @Test
+  void shouldJoinBySeedsWhenPlatformIsDown() {
+    cluster.listDown(true);
+    List<org.snipewick.platform.ListedInstance> seeds = cluster.listed().subList(0, 1);
+    cluster.start("wien.9", seeds);
+    cluster.advance(Duration.ofSeconds(8));
+    assertThat(standing("wien.9")).isTrue();
+    assertThat(cluster.seen("wien.9", "wien.3")).isEqualTo("ALIVE");
+    assertThat(cluster.seen("wien.9", "linz.2")).isEqualTo("ALIVE");
+    assertThat(cluster.seen("linz.1", "wien.9")).isEqualTo("ALIVE");
+  }
+
+  @Test
+  void shouldStayWithoutStandingWhenNeitherPlatformNorSeedAnswers() {
+    cluster.listDown(true);
+    cluster.start("graz.1", List.of());
+    cluster.advance(Duration.ofMinutes(1));
+    assertThat(standing("graz.1")).isFalse();
+  }
+
+  @Test
+  void shouldGainStandingAloneWhenListShowsNoOther() {
+    cluster.list("graz.1");
+    cluster.start("graz.1");
+    cluster.advance(Duration.ofSeconds(3));
+    assertThat(standing("graz.1")).isTrue();
+  }
+
+  @Test
+  void shouldNotCountListedInstanceAsMemberWhenItNeverAnswers() {
+    cluster.list("wien.7");
+    cluster.advance(Duration.ofSeconds(10));
+    assertThat(cluster.seen("wien.1", "wien.7")).isEqualTo("-");
+    assertThat(losses("wien.1")).isEmpty();
+    assertThat(standing("wien.1")).isTrue();
+  }
+
+  @Test
+  void shouldLoseStandingForGoodWhenLaterProcessTakesItsName() {
+    final Cluster.Node first = cluster.node("wien.2");
+    cluster.pause("wien.2");
+    cluster.advance(Duration.ofSeconds(3));
+    cluster.start("wien.2");
+    cluster.advance(Duration.ofSeconds(5));
+    first.timer().resume();
+    cluster.advance(Duration.ofSeconds(5));
+    assertThat(first.membership().hasStanding()).isFalse();
+    assertThat(standing("wien.2")).isTrue();
+  }
+
+  @Test
+  void shouldTellListenersEachChangeOnceWhenMemberDies() {
+    List<String> seen = new java.util.ArrayList<>();
+    cluster
+        .node("wien.1")
+        .membership()
+        .subscribe(
+            (before, after) ->
+                seen.add(
+                    before.find(InstanceId.of("wien.2")).orElseThrow().state()
+                        + ">"
+                        + after.find(InstanceId.of("wien.2")).orElseThrow().state()));
+    cluster.crash("wien.2");
+    cluster.advance(Duration.ofSeconds(10));
+    assertThat(seen).containsExactly("ALIVE>DEAD");
+  }
+}
--- /dev/null
+++ b/snipewick/src/test/java/org/snipewick/membership/SettableMembership.java
@@ -0,0 +1,65 @@
+package org.snipewick.membership;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.function.BiConsumer;
+import org.snipewick.identity.FailureDomain;
+import org.snipewick.identity.InstanceId;
+
+/** Membership whose view and standing a test sets. */
+public final class SettableMembership implements Membership {
+  private final List<BiConsumer<MembershipView, MembershipView>> listeners = new ArrayList<>();
+  private MembershipView view;
+  private boolean standing = true;
+  private long since;
+
+  /** Creates a membership with a first view. */
+  public SettableMembership(MembershipView view) {
+    this.view = view;
+  }
+
+  /** Returns a view in which all named instances ("domain.number") are alive. */
+  public static MembershipView viewOf(String self, String... names) {
+    return MembershipView.ofAll(
+        InstanceId.of(self), Arrays.stream(names).map(SettableMembership::alive).toList());
+  }
+
+  private static Member alive(String name) {
+    FailureDomain domain = FailureDomain.of(name.substring(0, name.lastIndexOf('.')));
+    return new Member(InstanceId.of(name), domain, "127.0.0.1", 1, 1, Member.State.ALIVE);
+  }
+
+  /** Replaces the view and tells the listeners. */
+  public void change(MembershipView changed) {
+    MembershipView before = view;
+    view = changed;
+    listeners.forEach(listener -> listener.accept(before, changed));
+  }
+
+  /** Sets the standing. */
+  public void standing(boolean has, long sinceEpochMillis) {
+    standing = has;
+    since = sinceEpochMillis;
+  }
+
+  @Override
+  public MembershipView view() {
+    return view;
+  }
+
+  @Override
+  public void subscribe(BiConsumer<MembershipView, MembershipView> listener) {
+    listeners.add(listener);
+  }
+
+  @Override
+  public boolean hasStanding() {
+    return standing;
+  }
+
+  @Override
+  public long standingSinceEpochMillis() {
+    return since;
+  }
+}
--- /dev/null
+++ b/snipewick/src/test/java/org/snipewick/peer/MeteredNetwork.java
@@ -0,0 +1,70 @@
+package org.snipewick.peer;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BiFunction;
+import org.snipewick.identity.InstanceId;
+
+/** Network that counts the bytes which its messages would have as frames over TCP. */
+public final class MeteredNetwork implements PeerNetwork {
+  private static final int LENGTH_BYTES = 4;
+
+  private final InstanceId self;
+  private final PeerNetwork network;
+  private final PeerCodec codec;
+  private final MessageBytes bytes;
+
+  /** Creates a network that adds what is sent and received to the counts of both sides. */
+  public MeteredNetwork(InstanceId self, PeerNetwork network, PeerCodec codec, MessageBytes bytes) {
+    this.self = self;
+    this.network = network;
+    this.codec = codec;
+    this.bytes = bytes;
+  }
+
+  private void count(InstanceId to, PeerMessage cause, Frame frame) {
+    if (!to.equals(self)) {
+      long size = LENGTH_BYTES + codec.encode(frame).length;
+      bytes.add(kindOf(cause), self, size);
+      bytes.add(kindOf(cause), to, size);
+    }
+  }
+
+  /** Returns package and name of a message's type; an answer is of the kind of its call. */
+  private static String kindOf(PeerMessage message) {
+    String owner = message.getClass().getPackageName();
+    return owner.substring(owner.lastIndexOf('.') + 1) + "." + message.getClass().getSimpleName();
+  }
+
+  @Override
+  public CompletableFuture<PeerMessage> call(InstanceId to, PeerMessage message, Duration timeout) {
+    count(to, message, new Frame.Call(1 << 20, message));
+    return network
+        .call(to, message, timeout)
+        .whenComplete(
+            (answer, failure) -> {
+              if (failure == null) {
+                count(to, message, new Frame.Answer(1 << 20, Optional.ofNullable(answer)));
+              }
+            });
+  }
+
+  @Override
+  public void send(InstanceId to, PeerMessage message) {
+    count(to, message, new Frame.Send(message));
+    network.send(to, message);
+  }
+
+  @Override
+  public <T extends PeerMessage> void handle(
+      Class<T> type, BiFunction<InstanceId, T, CompletableFuture<? extends PeerMessage>> handler) {
+    network.handle(type, handler);
+  }
+
+  @Override
+  public void locate(InstanceId instance, InetSocketAddress address) {
+    network.locate(instance, address);
+  }
+}
--- /dev/null
+++ b/snipewick/src/test/java/org/snipewick/peer/tcp/TcpPeerNetworkTest.java
@@ -0,0 +1,259 @@
+package org.snipewick.peer.tcp;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Queue;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.snipewick.event.EventType;
+import org.snipewick.failure.Failure;
+import org.snipewick.failure.FailureException;
+import org.snipewick.failure.FailureType;
+import org.snipewick.failure.Outcome;
+import org.snipewick.identity.InstanceId;
+import org.snipewick.peer.Frame;
+import org.snipewick.peer.PeerCodec;
+import org.snipewick.peer.PeerMessage;
+import org.snipewick.peer.TestMessages;
+import org.snipewick.peer.TestMessages.Text;
+import org.snipewick.time.SystemTimerService;
+
+@Timeout(20)
+class TcpPeerNetworkTest {
+  private static final PeerCodec CODEC = PeerCodec.ofAll(TestMessages.MESSAGE_TYPES);
+  private static final InstanceId ONE = InstanceId.of("wien-a.1");
+  private static final InstanceId TWO = InstanceId.of("wien-a.2");
+  private static final Duration LONG = Duration.ofSeconds(10);
+
+  private final SystemTimerService timer = SystemTimerService.of("test-timer");
+  private final Queue<EventType> events = new ConcurrentLinkedQueue<>();
+  private final List<TcpPeerNetwork> networks = new ArrayList<>();
+
+  @AfterEach
+  void close() {
+    networks.forEach(TcpPeerNetwork::close);
+    timer.close();
+  }
+
+  private TcpPeerNetwork listen(InstanceId id, long incarnation, int port) {
+    InetSocketAddress bind = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+    TcpPeerNetwork network =
+        TcpPeerNetwork.listen(
+            id,
+            incarnation,
+            bind,
+            CODEC,
+            timer,
+            (type, subject, details) -> events.add(type),
+            new Random(1));
+    networks.add(network);
+    return network;
+  }
+
+  private static InetSocketAddress address(TcpPeerNetwork network) {
+    return new InetSocketAddress(InetAddress.getLoopbackAddress(), network.port());
+  }
+
+  private static void echo(TcpPeerNetwork network) {
+    network.handle(
+        Text.class,
+        (from, message) ->
+            CompletableFuture.completedFuture(new Text(from + ":" + message.text())));
+  }
+
+  private static Failure failureOf(CompletableFuture<PeerMessage> future) {
+    try {
+      throw new AssertionError("answered " + future.orTimeout(10, TimeUnit.SECONDS).join());
+    } catch (CompletionException failure) {
+      return FailureException.unwrap(failure);
+    }
+  }
+
+  @Test
+  void shouldMatchAnswersWhenManyCallsRunAtOnce() {
+    TcpPeerNetwork two = listen(TWO, 1, 0);
+    echo(two);
+    TcpPeerNetwork one = listen(ONE, 1, 0);
+    one.locate(TWO, address(two));
+    List<CompletableFuture<PeerMessage>> answers = new ArrayList<>();
+    for (int i = 0; i < 2000; i++) {
+      answers.add(one.call(TWO, new Text("q" + i), LONG));
+    }
+    for (int i = 0; i < answers.size(); i++) {
+      assertThat(answers.get(i).join()).isEqualTo(new Text("wien-a.1:q" + i));
+    }
+    assertThat(one.bytesSent()).isPositive();
+    assertThat(one.bytesSent()).isLessThanOrEqualTo(two.bytesReceived() + 100);
+  }
+
+  @Test
+  void shouldGiveHandlersFailureWhenHandlerFails() {
+    TcpPeerNetwork two = listen(TWO, 1, 0);
+    Failure shed = Failure.notRun(FailureType.SHED, "full").withRetryAfter(Duration.ofMillis(7));
+    two.handle(Text.class, (from, message) -> CompletableFuture.failedFuture(shed.toException()));
+    TcpPeerNetwork one = listen(ONE, 1, 0);
+    one.locate(TWO, address(two));
+    assertThat(failureOf(one.call(TWO, new Text(""), LONG))).isEqualTo(shed);
+  }
+
+  @Test
+  void shouldCallHandlerDirectlyWhenReceiverIsItself() {
+    TcpPeerNetwork one = listen(ONE, 1, 0);
+    echo(one);
+    assertThat(one.call(ONE, new Text("x"), LONG).join()).isEqualTo(new Text("wien-a.1:x"));
+    assertThat(one.bytesSent()).isZero();
+  }
+
+  /** Fault, what the caller is told. */
+  static Stream<Arguments> faults() {
+    return Stream.of(
+        Arguments.of("address not known", Outcome.NOT_RUN),
+        Arguments.of("nobody listens", Outcome.NOT_RUN),
+        Arguments.of("handler does not answer", Outcome.UNKNOWN),
+        Arguments.of("peer closes while call runs", Outcome.UNKNOWN),
+        Arguments.of("message larger than a frame", Outcome.NOT_RUN));
+  }
+
+  @ParameterizedTest(name = "{0}")
+  @MethodSource("faults")
+  void shouldTellWhetherCallMayHaveRunWhenPeerFails(String fault, Outcome outcome) {
+    TcpPeerNetwork one = listen(ONE, 1, 0);
+    TcpPeerNetwork two = listen(TWO, 1, 0);
+    CompletableFuture<Void> arrived = new CompletableFuture<>();
+    two.handle(
+        Text.class,
+        (from, message) -> {
+          arrived.complete(null);
+          return new CompletableFuture<>();
+        });
+    Duration timeout = Duration.ofMillis(300);
+    String text = "";
+    switch (fault) {
+      case "nobody listens" -> {
+        one.locate(TWO, address(two));
+        two.close();
+        networks.remove(two);
+      }
+      case "handler does not answer" -> one.locate(TWO, address(two));
+      case "peer closes while call runs" -> {
+        one.locate(TWO, address(two));
+        timeout = LONG;
+        arrived.thenRunAsync(two::close);
+        networks.remove(two);
+      }
+      case "message larger than a frame" -> {
+        one.locate(TWO, address(two));
+        text = "x".repeat(TcpPeerNetwork.MAX_FRAME_BYTES);
+      }
+      default -> {}
+    }
+    Failure failure = failureOf(one.call(TWO, new Text(text), timeout));
+    assertThat(failure.outcome()).isEqualTo(outcome);
+  }
+
+  @Test
+  void shouldReachReplacedProcessWhenPeerRestarts() {
+    TcpPeerNetwork first = listen(TWO, 1, 0);
+    echo(first);
+    TcpPeerNetwork one = listen(ONE, 1, 0);
+    one.locate(TWO, address(first));
+    one.call(TWO, new Text("a"), LONG).join();
+    first.close();
+    networks.remove(first);
+    echo(listen(TWO, 2, first.port()));
+    CompletableFuture<PeerMessage> answered = new CompletableFuture<>();
+    var attempts =
+        timer.every(
+            Duration.ofMillis(20),
+            () -> one.call(TWO, new Text("b"), LONG).thenAccept(answered::complete));
+    assertThat(answered.join()).isEqualTo(new Text("wien-a.1:b"));
+    attempts.cancel();
+  }
+
+  @Test
+  void shouldRefuseCallsOfOlderProcessWhenLaterOneIsKnown() {
+    TcpPeerNetwork two = listen(TWO, 1, 0);
+    echo(two);
+    TcpPeerNetwork later = listen(ONE, 9, 0);
+    later.locate(TWO, address(two));
+    later.call(TWO, new Text("later"), LONG).join();
+    TcpPeerNetwork older = listen(ONE, 8, 0);
+    older.locate(TWO, address(two));
+    Failure failure = failureOf(older.call(TWO, new Text("older"), LONG));
+    assertThat(failure.type()).isEqualTo(FailureType.SUPERSEDED);
+    assertThat(failure.outcome()).isEqualTo(Outcome.NOT_RUN);
+  }
+
+  /** Bytes written by a raw client after connecting. */
+  static Stream<Arguments> malformed() {
+    byte[] hello = CODEC.encode(new Frame.Hello(ONE, 5, TWO));
+    byte[] elsewhere = CODEC.encode(new Frame.Hello(ONE, 5, InstanceId.of("graz.1")));
+    byte[] call = CODEC.encode(new Frame.Call(1, new Text("x")));
+    return Stream.of(
+        Arguments.of("no hello", framed(call)),
+        Arguments.of("hello meant for another", framed(elsewhere)),
+        Arguments.of("negative length", ByteBuffer.allocate(4).putInt(-1).array()),
+        Arguments.of("oversized", join(framed(hello), new byte[] {127, 0, 0, 0})),
+        Arguments.of("not MessagePack", join(framed(hello), framed(new byte[] {(byte) 0xc1}))),
+        Arguments.of("answer without call", join(framed(hello), framed(answer()))),
+        Arguments.of(
+            "HTTP", "GET / HTTP/1.1\r\n\r\n".getBytes(java.nio.charset.StandardCharsets.UTF_8)));
+  }
+
+  private static byte[] answer() {
+    return CODEC.encode(new Frame.Answer(1, java.util.Optional.empty()));
+  }
+
+  private static byte[] framed(byte[] frame) {
+    return ByteBuffer.allocate(4 + frame.length).putInt(frame.length).put(frame).array();
+  }
+
+  private static byte[] join(byte[] first, byte[] second) {
+    return ByteBuffer.allocate(first.length + second.length).put(first).put(second).array();
+  }
+
+  @ParameterizedTest(name = "{0}")
+  @MethodSource("malformed")
+  void shouldCloseOnlyThatConnectionWhenFrameIsMalformed(String fault, byte[] bytes)
+      throws IOException {
+    TcpPeerNetwork two = listen(TWO, 1, 0);
+    echo(two);
+    TcpPeerNetwork one = listen(InstanceId.of("linz.1"), 3, 0);
+    one.locate(TWO, address(two));
+    one.call(TWO, new Text("before"), LONG).join();
+    try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), two.port())) {
+      socket.getOutputStream().write(bytes);
+      InputStream input = socket.getInputStream();
+      assertThat(readToEnd(input)).isZero();
+    }
+    assertThat(one.call(TWO, new Text("after"), LONG).join()).isEqualTo(new Text("linz.1:after"));
+    assertThat(events).contains(EventType.PEER_FAILED).doesNotContain(EventType.INTERNAL_ERROR);
+  }
+
+  private static int readToEnd(InputStream input) {
+    try {
+      return input.readAllBytes().length;
+    } catch (IOException reset) {
+      return 0;
+    }
+  }
+}
--- /dev/null
+++ b/snipewick/src/test/java/org/snipewick/platform/DoubtfulWritesTest.java
@@ -0,0 +1,65 @@
+package org.snipewick.platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.snipewick.event.EventLog;
+import org.snipewick.platform.InMemoryTable.Fault;
+import org.snipewick.time.VirtualTimerService;
+
+/** Bounded time and truth of {@link DoubtfulWrites}. */
+final class DoubtfulWritesTest {
+  private static final Duration LIMIT = Duration.ofSeconds(5);
+  private static final Write INSERT = Write.insert("row", "mine");
+
+  private final VirtualTimerService timer = VirtualTimerService.of(0);
+  private final InMemoryTable table = new InMemoryTable();
+  private final DoubtfulWrites doubtful =
+      DoubtfulWrites.of(table, timer, EventLog.none(), new Random(3), LIMIT);
+
+  private CompletableFuture<WriteResult> write() {
+    return doubtful.write(INSERT, row -> row.value().equals("mine"));
+  }
+
+  @ParameterizedTest
+  @CsvSource({"LOST_ANSWER", "LOST_WRITE"})
+  void shouldApplyOnceWhenFaultEndsInTime(Fault fault) {
+    table.fault(fault);
+    final CompletableFuture<WriteResult> result = write();
+    timer.advance(Duration.ofSeconds(2));
+    table.fault(Fault.NONE);
+    timer.advance(Duration.ofSeconds(1));
+
+    assertThat(result.getNow(null)).isInstanceOf(WriteResult.Applied.class);
+    assertThat(table.peek("row")).contains("mine");
+  }
+
+  @Test
+  void shouldStayAmbiguousWhenDoubtOutlastsTheLimit() {
+    table.fault(Fault.LOST_WRITE);
+    CompletableFuture<WriteResult> result = write();
+
+    timer.advance(LIMIT.minusMillis(1));
+    assertThat(result).isNotDone();
+    timer.advance(Duration.ofMillis(1));
+    assertThat(result.getNow(null)).isInstanceOf(WriteResult.Ambiguous.class);
+  }
+
+  @Test
+  void shouldNotCallItRejectedWhenOnlyTheRepeatIsRejected() {
+    table.fault(Fault.LOST_ANSWER);
+    CompletableFuture<WriteResult> first = table.write(INSERT);
+    table.fault(Fault.OUTAGE);
+    CompletableFuture<WriteResult> result =
+        doubtful.resolve(INSERT, row -> row.value().equals("mine"));
+    timer.advance(LIMIT);
+
+    assertThat(first.join()).isInstanceOf(WriteResult.Ambiguous.class);
+    assertThat(result.getNow(null)).isInstanceOf(WriteResult.Ambiguous.class);
+  }
+}
--- /dev/null
+++ b/snipewick/src/test/java/org/snipewick/platform/InMemoryTableTest.java
@@ -0,0 +1,26 @@
+package org.snipewick.platform;
+
+/** Shows that the table of the other tests keeps the contract. */
+final class InMemoryTableTest extends TableContract {
+  private final InMemoryTable table = new InMemoryTable();
+
+  @Override
+  protected Table table() {
+    return table;
+  }
+
+  @Override
+  protected void failCalls() {
+    table.fault(InMemoryTable.Fault.OUTAGE);
+  }
+
+  @Override
+  protected void loseAnswers() {
+    table.fault(InMemoryTable.Fault.LOST_ANSWER);
+  }
+
+  @Override
+  protected void heal() {
+    table.fault(InMemoryTable.Fault.NONE);
+  }
+}
--- /dev/null
+++ b/snipewick/src/test/java/org/snipewick/platform/WeightStoreContract.java
@@ -0,0 +1,62 @@
+package org.snipewick.platform;
+
+import static java.util.concurrent.TimeUnit.SECONDS;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.snipewick.failure.Failure;
+import org.snipewick.failure.FailureException;
+import org.snipewick.failure.FailureType;
+import org.snipewick.failure.Outcome;
+
+/** What any {@link WeightStore} must do; an adapter is tested by extending this class. */
+public abstract class WeightStoreContract {
+  private static final long PATIENCE_SECONDS = 20;
+
+  /** Returns the store. */
+  protected abstract WeightStore weights();
+
+  /** Makes the store have just these weights. */
+  protected abstract void store(List<String> names);
+
+  /** Makes calls fail without effect. */
+  protected abstract void failCalls();
+
+  /** Lets the store serve no further read for longer than a call waits. */
+  protected abstract void exceedRate();
+
+  @ParameterizedTest
+  @ValueSource(strings = {"routeplanner", "wick/adapter 7", "ä%2F+?"})
+  void shouldTellWhatIsStoredWhenAsked(String name) {
+    store(List.of(name));
+    assertThat(await(weights().contains(name))).isTrue();
+    assertThat(await(weights().contains("absent"))).isFalse();
+  }
+
+  @Test
+  void shouldFailAsNotRunWhenPlatformIsOut() {
+    failCalls();
+    assertRefused(weights().contains("routeplanner"));
+  }
+
+  @Test
+  void shouldFailAsNotRunWhenStoreIsOverItsRate() {
+    exceedRate();
+    assertRefused(weights().contains("routeplanner"));
+  }
+
+  private static void assertRefused(CompletableFuture<Boolean> call) {
+    Failure failure = await(call.handle((value, thrown) -> FailureException.unwrap(thrown)));
+    assertThat(failure.type()).isEqualTo(FailureType.PLATFORM_UNAVAILABLE);
+    assertThat(failure.outcome()).isEqualTo(Outcome.NOT_RUN);
+    assertThat(failure.retryAfter()).isPresent();
+  }
+
+  private static <T> T await(CompletableFuture<T> future) {
+    return future.orTimeout(PATIENCE_SECONDS, SECONDS).join();
+  }
+}
--- /dev/null
+++ b/snipewick/src/test/java/org/snipewick/platform/http/CircuitBreakerTest.java
@@ -0,0 +1,80 @@
+package org.snipewick.platform.http;
+
+import static java.util.concurrent.CompletableFuture.completedFuture;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.snipewick.event.EventType;
+import org.snipewick.time.VirtualTimerService;
+
+/** Opening, probing and closing of {@link CircuitBreaker}. */
+final class CircuitBreakerTest {
+  private static final Reply LOST = new Reply.Lost("timeout");
+
+  private final VirtualTimerService timer = VirtualTimerService.of(0);
+  private final List<EventType> events = new ArrayList<>();
+  private Reply probeReply = LOST;
+  private int probes;
+
+  private final CircuitBreaker circuit =
+      new CircuitBreaker(
+          new PlatformSettings.Circuit(3, 1_000),
+          timer,
+          (type, subject, details) -> events.add(type),
+          new Random(9),
+          () -> {
+            probes++;
+            return completedFuture(probeReply);
+          });
+
+  private static Reply answered(int status) {
+    return new Reply.Answered(status, Optional.empty(), new byte[0]);
+  }
+
+  @ParameterizedTest
+  @CsvSource({"200,true", "404,true", "429,true", "500,false", "503,false"})
+  void shouldOpenOnlyWhenAnswersShowFailure(int status, boolean available) {
+    for (int call = 0; call < 3; call++) {
+      circuit.observe(answered(status));
+    }
+
+    assertThat(circuit.isAvailable()).isEqualTo(available);
+  }
+
+  @Test
+  void shouldStayClosedWhenSuccessesLieBetween() {
+    for (int call = 0; call < 10; call++) {
+      circuit.observe(LOST);
+      circuit.observe(LOST);
+      circuit.observe(answered(200));
+    }
+
+    assertThat(circuit.isAvailable()).isTrue();
+    assertThat(events).isEmpty();
+  }
+
+  @Test
+  void shouldCloseOnceWhenProbeIsAnswered() {
+    for (int call = 0; call < 30; call++) {
+      circuit.observe(LOST);
+    }
+    timer.advance(Duration.ofSeconds(10));
+    assertThat(probes).isBetween(6, 20);
+    assertThat(circuit.isAvailable()).isFalse();
+
+    circuit.observe(answered(200));
+    assertThat(circuit.isAvailable()).isFalse();
+
+    probeReply = answered(404);
+    timer.advance(Duration.ofMillis(1_500));
+    assertThat(circuit.isAvailable()).isTrue();
+    assertThat(events).containsExactly(EventType.PLATFORM_LOST, EventType.PLATFORM_REGAINED);
+  }
+}
--- /dev/null
+++ b/snipewick/src/test/java/org/snipewick/platform/http/DomainWriterRateTest.java
@@ -0,0 +1,305 @@
+package org.snipewick.platform.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.snipewick.event.EventLog;
+import org.snipewick.idempotency.KeyState;
+import org.snipewick.idempotency.KeyedRequest;
+import org.snipewick.idempotency.LedgerSettings;
+import org.snipewick.idempotency.TableRequestLedger;
+import org.snipewick.identity.FailureDomain;
+import org.snipewick.identity.InstanceId;
+import org.snipewick.identity.RequestId;
+import org.snipewick.identity.TeamName;
+import org.snipewick.membership.Member;
+import org.snipewick.membership.MembershipView;
+import org.snipewick.membership.Rendezvous;
+import org.snipewick.membership.SettableMembership;
+import org.snipewick.peer.InMemoryPeers;
+import org.snipewick.peer.MessageBytes;
+import org.snipewick.peer.MeteredNetwork;
+import org.snipewick.peer.PeerCodec;
+import org.snipewick.peer.PeerNetwork;
+import org.snipewick.platform.InMemoryTable;
+import org.snipewick.platform.Row;
+import org.snipewick.platform.Table;
+import org.snipewick.platform.Write;
+import org.snipewick.platform.WriteResult;
+import org.snipewick.time.VirtualTimerService;
+import org.snipewick.writer.DomainTable;
+import org.snipewick.writer.DomainWriter;
+import org.snipewick.writer.WriterMessages;
+
+/** Intents of bookings at many instances, with and without writers, in virtual time. */
+class DomainWriterRateTest {
+  private static final long SEED = 3;
+  private static final double ALL_PER_SECOND = 320;
+  private static final int BOOKINGS_PER_SECOND = 1_000;
+  private static final int SECONDS = 20;
+  private static final Duration TABLE_TIME = Duration.ofMillis(10);
+  private static final Duration HOP = Duration.ofMillis(1);
+  private static final Duration KILLED_AT = Duration.ofSeconds(8);
+  private static final Duration FOUND_DEAD_AFTER = Duration.ofMillis(2_500);
+  private static final double NANOS_PER_MILLI = 1e6;
+  private static final FailureDomain FIRST_DOMAIN = FailureDomain.of("d0");
+  private static final ObjectMapper JSON = new ObjectMapper();
+
+  private final VirtualTimerService timer = VirtualTimerService.of(1_800_000_000_000L);
+  private final Random random = new Random(SEED);
+  private final InMemoryPeers peers = new InMemoryPeers(timer, HOP);
+  private final PeerCodec codec = PeerCodec.ofAll(WriterMessages.MESSAGE_TYPES);
+  private final MessageBytes bytes = new MessageBytes();
+  private final InMemoryTable stored = new InMemoryTable();
+  private final PlatformSettings settings =
+      PlatformSettings.of("127.0.0.1", 1).withAllWrites(ALL_PER_SECOND);
+  private final List<Instance> instances = new ArrayList<>();
+  private final Map<Long, Integer> callsInSecond = new HashMap<>();
+  private final List<Double> waitsMillis = new ArrayList<>();
+  private final List<Double> waitsOfOrphansMillis = new ArrayList<>();
+  private int notGranted;
+
+  @ParameterizedTest(name = "{0} instances in {1} domains, writers {2}, killed {3}")
+  @CsvSource({
+    "8, 4, false, false, 40",
+    "8, 4, true, false, 40",
+    "64, 16, false, false, 220",
+    "64, 16, true, false, 150",
+    "340, 16, false, false, 1100",
+    "340, 16, true, false, 150",
+    "64, 16, true, true, 150",
+    "340, 16, true, true, 150"
+  })
+  void shouldWaitLessWithinRateOfAllWhenDomainsHaveWriters(
+      int count, int domains, boolean writers, boolean killed, double longestMillis) {
+    MembershipView all = start(count, domains, writers);
+    book();
+    InstanceId victim =
+        Rendezvous.first("writer/d0", all.aliveIn(FIRST_DOMAIN), member -> member.id().value())
+            .map(Member::id)
+            .orElseThrow();
+    if (killed) {
+      timer.after(KILLED_AT, () -> kill(victim));
+    }
+    timer.advance(Duration.ofSeconds(SECONDS + 20));
+    report(count, domains, writers, killed);
+
+    assertThat(notGranted).isZero();
+    assertThat(callsInSecond.values()).allMatch(calls -> calls <= ALL_PER_SECOND * 1.1);
+    assertThat(percentile(waitsMillis, 0.99)).isLessThan(longestMillis);
+  }
+
+  private MembershipView start(int count, int domains, boolean writers) {
+    String[] names = new String[count];
+    for (int index = 0; index < count; index++) {
+      names[index] = "d" + index % domains + "." + index;
+    }
+    WriteShares shares =
+        writers
+            ? WriteShares.withWriters(settings, count, domains)
+            : WriteShares.withoutWriters(settings, count);
+    MembershipView view = SettableMembership.viewOf(names[0], names);
+    for (String name : names) {
+      instances.add(new Instance(new MembershipView(InstanceId.of(name), view.members()), shares));
+    }
+    return view;
+  }
+
+  private void book() {
+    for (int number = 0; number < SECONDS * BOOKINGS_PER_SECOND; number++) {
+      Instance entry = instances.get(random.nextInt(instances.size()));
+      long sequence = number;
+      Duration at = Duration.ofNanos((long) (random.nextDouble() * SECONDS * 1e9));
+      timer.after(at, () -> entry.book(sequence));
+    }
+  }
+
+  private void kill(InstanceId victim) {
+    peers.crash(victim);
+    for (Instance instance : instances) {
+      instance.alive &= !instance.id.equals(victim);
+      timer.after(FOUND_DEAD_AFTER, () -> instance.lose(victim));
+    }
+  }
+
+  private void report(int count, int domains, boolean writers, boolean killed) {
+    int calls = callsInSecond.values().stream().mapToInt(Integer::intValue).sum();
+    long sent = bytes.all().values().stream().mapToLong(Long::longValue).sum() / 2;
+    System.out.printf(
+        Locale.ROOT,
+        "instances=%d domains=%d writers=%b killed=%b seed=%d bookings=%d wait ms mean=%.0f "
+            + "p50=%.0f p99=%.0f max=%.0f calls/s=%.0f most=%d bytes a booking=%d%n",
+        count,
+        domains,
+        writers,
+        killed,
+        SEED,
+        waitsMillis.size(),
+        waitsMillis.stream().mapToDouble(Double::doubleValue).average().orElseThrow(),
+        percentile(waitsMillis, 0.5),
+        percentile(waitsMillis, 0.99),
+        percentile(waitsMillis, 1),
+        (double) calls / SECONDS,
+        callsInSecond.values().stream().mapToInt(Integer::intValue).max().orElseThrow(),
+        sent / waitsMillis.size());
+    if (killed) {
+      System.out.printf(
+          Locale.ROOT,
+          "  in the domain, from the kill to the known death: bookings=%d p50=%.0f p99=%.0f%n",
+          waitsOfOrphansMillis.size(),
+          percentile(waitsOfOrphansMillis, 0.5),
+          percentile(waitsOfOrphansMillis, 0.99));
+    }
+  }
+
+  private static double percentile(List<Double> values, double part) {
+    List<Double> sorted = values.stream().sorted().toList();
+    return sorted.get((int) Math.min(sorted.size() - 1, sorted.size() * part));
+  }
+
+  private final class Instance {
+    private final InstanceId id;
+    private final SettableMembership membership;
+    private final TableRequestLedger ledger;
+    private boolean alive = true;
+
+    Instance(MembershipView view, WriteShares shares) {
+      id = view.self();
+      membership = new SettableMembership(view);
+      PeerNetwork network = new MeteredNetwork(id, peers.join(id), codec, bytes);
+      Table direct = new BatchedTable(batcher(shares.direct()));
+      Table shared = new BatchedTable(batcher(shares.writerOrDirect()));
+      DomainWriter.start(network, membership, shared, shares::usesWriters);
+      DomainTable table =
+          DomainTable.of(
+              new DomainTable.Tables(direct, shared, Duration.ofMillis(1_200)),
+              network,
+              membership,
+              timer,
+              EventLog.none(),
+              shares::usesWriters);
+      ledger =
+          TableRequestLedger.of(
+              table,
+              membership,
+              timer,
+              new Random(id.hashCode()),
+              EventLog.none(),
+              LedgerSettings.defaults());
+    }
+
+    void book(long sequence) {
+      if (!alive) {
+        return;
+      }
+      KeyedRequest request =
+          new KeyedRequest(
+              RequestId.of(id, 1, sequence),
+              TeamName.of("dispatch"),
+              "01890a5d-ac96-774b-bcce-" + (100_000_000_000L + sequence),
+              "fingerprint-of-22-char",
+              true);
+      long start = timer.nanoTime();
+      var unused = ledger.claim(request).whenComplete((state, failure) -> note(start, state));
+    }
+
+    private void note(long start, KeyState state) {
+      if (!alive) {
+        return;
+      }
+      double waited = (timer.nanoTime() - start) / NANOS_PER_MILLI;
+      waitsMillis.add(waited);
+      notGranted += state instanceof KeyState.Fresh ? 0 : 1;
+      boolean orphaned =
+          start >= KILLED_AT.toNanos()
+              && start < KILLED_AT.plus(FOUND_DEAD_AFTER).toNanos()
+              && membership.view().ownDomain().equals(FIRST_DOMAIN);
+      if (orphaned) {
+        waitsOfOrphansMillis.add(waited);
+      }
+    }
+
+    void lose(InstanceId lost) {
+      Map<InstanceId, Member> members = new HashMap<>(membership.view().members());
+      members.computeIfPresent(lost, (name, member) -> member.withState(Member.State.DEAD));
+      membership.change(new MembershipView(id, members));
+    }
+
+    private WriteBatcher batcher(double rate) {
+      CircuitBreaker circuit =
+          new CircuitBreaker(
+              settings.circuit(), timer, EventLog.none(), random, CompletableFuture::new);
+      return new WriteBatcher(
+          settings,
+          (method, path, body) -> call(body),
+          timer,
+          circuit,
+          new RetryPolicy(settings.retry(), random),
+          () -> rate);
+    }
+
+    private CompletableFuture<Reply> call(byte[] body) {
+      CompletableFuture<Reply> reply = new CompletableFuture<>();
+      if (alive) {
+        callsInSecond.merge(timer.nanoTime() / 1_000_000_000L, 1, Integer::sum);
+        byte[] answer = answer(body);
+        timer.after(
+            TABLE_TIME,
+            () -> reply.complete(new Reply.Answered(Reply.OK, Optional.empty(), answer)));
+      }
+      return reply;
+    }
+  }
+
+  private byte[] answer(byte[] body) {
+    try {
+      ArrayNode answers = JSON.createArrayNode();
+      for (JsonNode operation : JSON.readTree(body)) {
+        Write write = Write.insert(operation.get("key").asText(), operation.get("value").asText());
+        WriteResult result = stored.write(write).join();
+        if (result instanceof WriteResult.Applied applied) {
+          answers.addObject().put("applied", true).put("version", applied.version());
+        } else {
+          Optional<Row> current = ((WriteResult.Conflict) result).current();
+          answers.addObject().put("applied", false).putPOJO("current", current.orElse(null));
+        }
+      }
+      return JSON.writeValueAsBytes(answers);
+    } catch (IOException failure) {
+      throw new UncheckedIOException(failure);
+    }
+  }
+
+  private record BatchedTable(WriteBatcher batcher) implements Table {
+
+    @Override
+    public CompletableFuture<Optional<Row>> read(String key) {
+      return CompletableFuture.failedFuture(new UnsupportedOperationException(key));
+    }
+
+    @Override
+    public CompletableFuture<List<Row>> scan(String prefix) {
+      return CompletableFuture.failedFuture(new UnsupportedOperationException(prefix));
+    }
+
+    @Override
+    public CompletableFuture<WriteResult> write(Write write) {
+      return batcher.add(write);
+    }
+  }
+}
--- /dev/null
+++ b/snipewick/src/test/java/org/snipewick/platform/http/HttpPlatformAnswersTest.java
@@ -0,0 +1,201 @@
+package org.snipewick.platform.http;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static java.util.concurrent.TimeUnit.SECONDS;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Optional;
+import java.util.Queue;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.snipewick.event.EventLog;
+import org.snipewick.failure.FailureException;
+import org.snipewick.failure.FailureType;
+import org.snipewick.platform.Row;
+import org.snipewick.platform.Write;
+import org.snipewick.platform.WriteResult;
+import org.snipewick.time.SystemTimerService;
+
+/** Unusual answers of a platform, given in a fixed order. */
+final class HttpPlatformAnswersTest {
+  private static final String APPLIED = "[{\"applied\":true,\"version\":5,\"current\":null}]";
+
+  private final Queue<Answer> answers = new ConcurrentLinkedQueue<>();
+  private final AtomicInteger calls = new AtomicInteger();
+  private final SystemTimerService timer = SystemTimerService.of("test-timer");
+  private final ExecutorService executor = Executors.newCachedThreadPool();
+  private HttpServer server;
+  private HttpPlatform platform;
+
+  private record Answer(int status, String body, CountDownLatch arrived, CountDownLatch release) {
+
+    Answer(int status, String body) {
+      this(status, body, new CountDownLatch(1), new CountDownLatch(0));
+    }
+
+    static Answer held(int status, String body) {
+      return new Answer(status, body, new CountDownLatch(1), new CountDownLatch(1));
+    }
+  }
+
+  @BeforeEach
+  void start() throws IOException {
+    server = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 0);
+    server.createContext("/", this::answer);
+    server.setExecutor(executor);
+    server.start();
+    PlatformSettings settings =
+        PlatformSettings.of("127.0.0.1", server.getAddress().getPort())
+            .withTimeoutMillis(20_000)
+            .withRetry(new PlatformSettings.Retry(3, 1, 2, 1))
+            .withCircuit(new PlatformSettings.Circuit(100, 1_000));
+    platform = HttpPlatform.of(settings, timer, EventLog.none(), new Random(1));
+  }
+
+  @AfterEach
+  void stop() {
+    platform.close();
+    server.stop(0);
+    executor.shutdownNow();
+    timer.close();
+  }
+
+  private void answer(HttpExchange exchange) throws IOException {
+    calls.incrementAndGet();
+    Answer answer = answers.remove();
+    answer.arrived().countDown();
+    waitFor(answer.release());
+    byte[] body = answer.body().getBytes(UTF_8);
+    exchange.getRequestBody().readAllBytes();
+    exchange.getResponseHeaders().add("ETag", "\"5\"");
+    exchange.sendResponseHeaders(answer.status(), body.length == 0 ? -1 : body.length);
+    try (OutputStream out = exchange.getResponseBody()) {
+      out.write(body);
+    }
+  }
+
+  private static void waitFor(CountDownLatch latch) {
+    try {
+      assertThat(latch.await(20, SECONDS)).isTrue();
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private static <T> T await(CompletableFuture<T> future) {
+    return future.orTimeout(20, SECONDS).join();
+  }
+
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      quoteCharacter = '~',
+      value = {
+        // statuses in order | body of the last | result    | calls
+        "200         | " + APPLIED + " | Applied   | 1",
+        "503 200     | " + APPLIED + " | Applied   | 2",
+        "429 429 200 | " + APPLIED + " | Applied   | 3",
+        "429 429 429 | x               | Rejected  | 3",
+        "400         | x               | Rejected  | 1",
+        "413         | x               | Rejected  | 1",
+        "500         | x               | Ambiguous | 1",
+        "504         | x               | Ambiguous | 1",
+        "200         | not JSON        | Ambiguous | 1",
+        "200         | []              | Ambiguous | 1",
+        "200         | [7]             | Ambiguous | 1",
+        "200         | [null]          | Ambiguous | 1",
+      })
+  void shouldClassWriteWhenAnswerIsUnusual(
+      String statuses, String body, String result, int expectedCalls) {
+    for (String status : statuses.split(" ", -1)) {
+      answers.add(new Answer(Integer.parseInt(status), body));
+    }
+
+    WriteResult actual = await(platform.table().write(Write.insert("row", "value")));
+
+    assertThat(actual.getClass().getSimpleName()).isEqualTo(result);
+    assertThat(calls).hasValue(expectedCalls);
+  }
+
+  @ParameterizedTest
+  @CsvSource({"503 200,2", "500 429 200,3", "404,1"})
+  void shouldRepeatReadWhenAnswerShowsFailure(String statuses, int expectedCalls) {
+    for (String status : statuses.split(" ", -1)) {
+      answers.add(new Answer(Integer.parseInt(status), "value"));
+    }
+
+    assertThat(await(platform.table().read("row")).isPresent()).isEqualTo(statuses.endsWith("200"));
+    assertThat(calls).hasValue(expectedCalls);
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"not JSON", "null", "[null]", "[{\"key\":null}]"})
+  void shouldFailWithTypeWhenAnswerIsMalformed(String body) {
+    answers.add(new Answer(200, body));
+
+    FailureType type =
+        await(
+            platform
+                .table()
+                .scan("row")
+                .handle((rows, thrown) -> FailureException.unwrap(thrown).type()));
+
+    assertThat(type).isEqualTo(FailureType.PLATFORM_UNAVAILABLE);
+  }
+
+  @Test
+  void shouldNotShareAnOlderReadWhenOwnWriteHasBeenAnswered() {
+    Answer held = Answer.held(200, "[]");
+    answers.add(held);
+    final CompletableFuture<List<Row>> older = platform.table().scan("row");
+    waitFor(held.arrived());
+    answers.add(new Answer(200, APPLIED));
+    answers.add(new Answer(200, "[{\"key\":\"row\",\"version\":5,\"value\":\"value\"}]"));
+
+    await(platform.table().write(Write.insert("row", "value")));
+
+    assertThat(await(platform.table().scan("row"))).hasSize(1);
+    assertThat(older).isNotDone();
+    held.release().countDown();
+    assertThat(await(older)).isEmpty();
+  }
+
+  @ParameterizedTest
+  @CsvSource({"404,false", "400,true"})
+  void shouldSendNextReadWhenItIsStartedByTheEndOfAnEqualOne(int status, boolean fails) {
+    Answer held = Answer.held(status, "");
+    answers.add(held);
+    CompletableFuture<Boolean> first = new CompletableFuture<>();
+    final CompletableFuture<Optional<Row>> second =
+        platform
+            .table()
+            .read("row")
+            .handle((row, thrown) -> first.complete(thrown != null))
+            .thenCompose(ended -> platform.table().read("row"));
+    waitFor(held.arrived());
+    answers.add(new Answer(200, "value"));
+
+    held.release().countDown();
+
+    assertThat(await(second)).isPresent();
+    assertThat(first).isCompletedWithValue(fails);
+    assertThat(calls).hasValue(2);
+  }
+}
--- /dev/null
+++ b/snipewick/src/test/java/org/snipewick/platform/http/SharedWriteRateTest.java
@@ -0,0 +1,107 @@
+package org.snipewick.platform.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.snipewick.event.EventLog;
+import org.snipewick.platform.Write;
+import org.snipewick.platform.WriteResult;
+import org.snipewick.time.VirtualTimerService;
+
+/** Writes of many instances that share the platform's rate, in virtual time. */
+class SharedWriteRateTest {
+  private static final long SEED = 3;
+  private static final double ALL_PER_SECOND = 320;
+  private static final double ROWS_PER_SECOND = 1_000;
+  private static final int SECONDS = 20;
+  private static final Duration TABLE_TIME = Duration.ofMillis(10);
+  private static final double NANOS_PER_MILLI = 1e6;
+
+  private final VirtualTimerService timer = VirtualTimerService.of(0);
+  private final Random random = new Random(SEED);
+  private final List<Double> waitsMillis = new ArrayList<>();
+  private int calls;
+  private int rejected;
+
+  /** The first cases are instances that write themselves; the last, one writer a domain. */
+  @ParameterizedTest(name = "{0} writers")
+  @CsvSource({"8", "40", "100", "340", "16"})
+  void shouldStayUnderRateOfAllWhenManyInstancesWrite(int writers) {
+    List<WriteBatcher> batchers = new ArrayList<>();
+    for (int index = 0; index < writers; index++) {
+      batchers.add(batcher(writers));
+    }
+    int rows = (int) (SECONDS * ROWS_PER_SECOND);
+    for (int row = 0; row < rows; row++) {
+      String key = "row-" + row;
+      WriteBatcher batcher = batchers.get(random.nextInt(writers));
+      long micros = (long) (random.nextDouble() * SECONDS * 1e6);
+      timer.after(Duration.ofNanos(micros * 1_000), () -> write(batcher, key));
+    }
+    timer.advance(Duration.ofSeconds(SECONDS));
+    final double perSecond = (double) calls / SECONDS;
+    timer.advance(Duration.ofSeconds(10));
+
+    double[] waits = waitsMillis.stream().mapToDouble(Double::doubleValue).sorted().toArray();
+    System.out.printf(
+        Locale.ROOT,
+        "writers=%d seed=%d rows/s=%.0f calls/s=%.0f wait ms mean=%.0f p99=%.0f rejected=%d%n",
+        writers,
+        SEED,
+        ROWS_PER_SECOND,
+        perSecond,
+        Arrays.stream(waits).average().orElseThrow(),
+        waits[(int) (waits.length * 0.99)],
+        rejected);
+    assertThat(perSecond).isLessThanOrEqualTo(ALL_PER_SECOND * (1 + 0.1 / SECONDS) + 1);
+    assertThat(waits).hasSize(rows);
+    assertThat(rejected).isZero();
+  }
+
+  private WriteBatcher batcher(int writers) {
+    PlatformSettings settings = PlatformSettings.of("127.0.0.1", 1).withAllWrites(ALL_PER_SECOND);
+    CircuitBreaker circuit =
+        new CircuitBreaker(
+            settings.circuit(), timer, EventLog.none(), random, CompletableFuture::new);
+    return new WriteBatcher(
+        settings,
+        (method, path, body) -> answer(body),
+        timer,
+        circuit,
+        new RetryPolicy(settings.retry(), random),
+        () -> settings.writesPerSecondAmong(writers));
+  }
+
+  private CompletableFuture<Reply> answer(byte[] body) {
+    calls++;
+    int rows = new String(body, java.nio.charset.StandardCharsets.UTF_8).split("\"op\"").length - 1;
+    String results =
+        String.join(",", java.util.Collections.nCopies(rows, "{\"applied\":true,\"version\":1}"));
+    byte[] answer = ("[" + results + "]").getBytes(java.nio.charset.StandardCharsets.UTF_8);
+    CompletableFuture<Reply> reply = new CompletableFuture<>();
+    timer.after(
+        TABLE_TIME, () -> reply.complete(new Reply.Answered(Reply.OK, Optional.empty(), answer)));
+    return reply;
+  }
+
+  private void write(WriteBatcher batcher, String key) {
+    long start = timer.nanoTime();
+    var unused =
+        batcher
+            .add(Write.insert(key, "value"))
+            .thenAccept(
+                result -> {
+                  waitsMillis.add((timer.nanoTime() - start) / NANOS_PER_MILLI);
+                  rejected += result instanceof WriteResult.Applied ? 0 : 1;
+                });
+  }
+}
--- /dev/null
+++ b/snipewick/src/test/java/org/snipewick/request/FakeLedger.java
@@ -0,0 +1,67 @@
+package org.snipewick.request;
+
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.snipewick.failure.Failure;
+import org.snipewick.idempotency.KeyState;
+import org.snipewick.idempotency.KeyedRequest;
+import org.snipewick.idempotency.RequestLedger;
+import org.snipewick.idempotency.StoredAnswer;
+
+/** Ledger of a single process. */
+public final class FakeLedger implements RequestLedger {
+  public final Map<String, KeyState> states = new ConcurrentHashMap<>();
+  public final BlockingQueue<String> notes = new LinkedBlockingQueue<>();
+  public volatile Failure refusal;
+  public volatile CompletableFuture<Void> gate = CompletableFuture.completedFuture(null);
+
+  @Override
+  public CompletableFuture<KeyState> claim(KeyedRequest request) {
+    if (refusal != null) {
+      return CompletableFuture.failedFuture(refusal.toException());
+    }
+    return gate.thenApply(
+        open -> {
+          KeyState before = states.putIfAbsent(request.scopedKey(), new KeyState.InProgress());
+          return before == null ? new KeyState.Fresh() : before;
+        });
+  }
+
+  @Override
+  public CompletableFuture<Void> releaseNotRun(KeyedRequest request) {
+    states.remove(request.scopedKey());
+    return noted("released");
+  }
+
+  @Override
+  public CompletableFuture<Void> complete(KeyedRequest request, StoredAnswer answer) {
+    states.put(request.scopedKey(), new KeyState.Ran(answer));
+    return noted("complete");
+  }
+
+  @Override
+  public CompletableFuture<Void> markUnknown(KeyedRequest request) {
+    states.put(request.scopedKey(), new KeyState.Unknown());
+    return noted("unknown");
+  }
+
+  @Override
+  public CompletableFuture<KeyState> lookup(KeyedRequest request) {
+    return CompletableFuture.completedFuture(
+        states.getOrDefault(request.scopedKey(), new KeyState.Fresh()));
+  }
+
+  /** Waits for the next note of how a call ended. */
+  public String awaitNote() throws InterruptedException {
+    return notes.poll(10, TimeUnit.SECONDS);
+  }
+
+  private CompletableFuture<Void> noted(String note) {
+    notes.add(note);
+    return CompletableFuture.completedFuture(null);
+  }
+}
--- /dev/null
+++ b/snipewick/src/test/java/org/snipewick/request/FakePool.java
@@ -0,0 +1,96 @@
+package org.snipewick.request;
+
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
+import org.snipewick.failure.Failure;
+import org.snipewick.pool.Decision;
+import org.snipewick.pool.EndpointStatus;
+import org.snipewick.pool.PoolClient;
+import org.snipewick.pool.WorkEvent;
+import org.snipewick.pool.WorkRequest;
+
+/** Pool whose endpoints are granted in turn, at once or when the test says so. */
+public final class FakePool implements PoolClient {
+  public final List<WorkRequest> offered = new CopyOnWriteArrayList<>();
+  public final AtomicInteger withdrawals = new AtomicInteger();
+  public final BlockingQueue<WorkEvent.Result> results = new LinkedBlockingQueue<>();
+  public volatile Consumer<Decision.Cancel> cancel = decision -> {};
+  public volatile boolean holding;
+  public volatile boolean lapsed;
+  public volatile Failure refusal;
+  private final BlockingQueue<CompletableFuture<Permit>> held = new LinkedBlockingQueue<>();
+  private final AtomicInteger turn = new AtomicInteger();
+  private volatile List<EndpointStatus> endpoints = List.of();
+
+  public void setEndpoints(EndpointStatus... all) {
+    endpoints = List.of(all);
+  }
+
+  @Override
+  public CompletableFuture<Permit> acquire(WorkRequest work, Consumer<Decision.Cancel> onCancel) {
+    offered.add(work);
+    cancel = onCancel;
+    if (refusal != null) {
+      return CompletableFuture.failedFuture(refusal.toException());
+    }
+    CompletableFuture<Permit> granted = new CompletableFuture<>();
+    if (holding) {
+      held.add(granted);
+    } else {
+      granted.complete(permit());
+    }
+    return granted;
+  }
+
+  /** Grants what waits longest, and counts it if it was withdrawn. */
+  public void grantHeld() throws InterruptedException {
+    if (!held.poll(10, TimeUnit.SECONDS).complete(permit())) {
+      withdrawals.incrementAndGet();
+    }
+  }
+
+  /** Waits until a call is held, without granting it. */
+  public void awaitHeld() throws InterruptedException {
+    CompletableFuture<Permit> first = held.poll(10, TimeUnit.SECONDS);
+    held.add(first);
+  }
+
+  /** Waits for the next end of a permission. */
+  public WorkEvent.Result awaitResult() throws InterruptedException {
+    return results.poll(10, TimeUnit.SECONDS);
+  }
+
+  private Permit permit() {
+    EndpointStatus endpoint = endpoints.get(turn.getAndIncrement() % endpoints.size());
+    AtomicBoolean used = new AtomicBoolean(lapsed);
+    return new Permit() {
+      @Override
+      public EndpointStatus endpoint() {
+        return endpoint;
+      }
+
+      @Override
+      public boolean use() {
+        return used.compareAndSet(false, true);
+      }
+
+      @Override
+      public void firstToken() {}
+
+      @Override
+      public void progress(int outputTokens) {}
+
+      @Override
+      public void finish(WorkEvent.Result result, int outputTokens) {
+        results.add(result);
+      }
+    };
+  }
+}
--- /dev/null
+++ b/snipewick/src/test/java/org/snipewick/request/http/CallerServerTest.java
@@ -0,0 +1,117 @@
+package org.snipewick.request.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.snipewick.endpoint.http.FakeEndpoint;
+import org.snipewick.event.EventType;
+import org.snipewick.failure.Failure;
+import org.snipewick.failure.FailureType;
+import org.snipewick.pool.WorkEvent;
+
+class CallerServerTest {
+  private static final String CHAT = "/v1/chat/completions";
+
+  private final Front front = Front.start();
+  private final FakeEndpoint engine =
+      FakeEndpoint.start(call -> call.whole(200, FakeEndpoint.completion("fine")));
+
+  @AfterEach
+  void stop() {
+    front.close();
+    engine.close();
+  }
+
+  @Test
+  void shouldAnswerWholeWhenNotStreamed() throws InterruptedException {
+    front.pool.setEndpoints(engine.status("engine-1"));
+
+    HttpResponse<String> response = front.post(CHAT, Front.chat(false));
+
+    assertThat(response.statusCode()).isEqualTo(200);
+    assertThat(response.body()).isEqualTo(FakeEndpoint.completion("fine"));
+    assertThat(response.headers().firstValue("Snipewick-Request")).isPresent();
+    assertThat(front.pool.awaitResult()).isEqualTo(WorkEvent.Result.COMPLETE);
+  }
+
+  @Test
+  void shouldStreamToTheTerminatorWhenStreamed() throws InterruptedException {
+    front.pool.setEndpoints(engine.status("engine-1"));
+    engine.setScript(
+        call -> {
+          call.beginStream();
+          call.tokens(1, 5, 5);
+          call.done();
+        });
+
+    HttpResponse<String> response = front.post(CHAT, Front.chat(true));
+
+    assertThat(response.statusCode()).isEqualTo(200);
+    assertThat(response.body()).contains("t1", "t5").endsWith("data: [DONE]\n\n");
+    assertThat(front.pool.awaitResult()).isEqualTo(WorkEvent.Result.COMPLETE);
+  }
+
+  @Test
+  void shouldCountByTierAndRecordEventsInOrderWhenCallsEnd() throws InterruptedException {
+    front.pool.setEndpoints(engine.status("engine-1"));
+    front.post(CHAT, Front.chat(false), "Snipewick-Class", "4");
+    front.pool.refusal =
+        Failure.notRun(FailureType.SHED, "no room").withRetryAfter(Duration.ofMillis(1200));
+
+    HttpResponse<String> shed = front.post(CHAT, Front.chat(false));
+
+    assertThat(shed.headers().firstValue("Retry-After")).hasValue("2");
+    front.awaitEvent(EventType.REQUEST_FAILED);
+    assertThat(front.events)
+        .containsExactly(
+            EventType.REQUEST_RECEIVED,
+            EventType.REQUEST_OFFERED,
+            EventType.REQUEST_GRANTED,
+            EventType.REQUEST_DISPATCHED,
+            EventType.FIRST_TOKEN,
+            EventType.ANSWER_COMPLETE,
+            EventType.REQUEST_DELIVERED,
+            EventType.REQUEST_RECEIVED,
+            EventType.REQUEST_OFFERED,
+            EventType.REQUEST_FAILED);
+    assertThat(front.metrics.counter("requests.tier4.answered_in_time").getCount()).isEqualTo(1);
+    assertThat(front.metrics.counter("requests.tier3.failed.shed").getCount()).isEqualTo(1);
+    assertThat(front.inFlight.count()).isZero();
+  }
+
+  @Test
+  void shouldPassServiceCallsThroughWhenTheServiceIsKnown() {
+    front.pool.setEndpoints(engine.status("service-1"));
+    engine.setScript(call -> call.whole(201, call.line() + call.body()));
+
+    HttpResponse<String> response =
+        front.post("/services/ordersvc/orders?rush=1", "{}", "Idempotency-Key", "k1");
+
+    assertThat(response.statusCode()).isEqualTo(201);
+    assertThat(response.body()).isEqualTo("POST /orders?rush=1{}");
+    assertThat(engine.calls().get(0).header("Idempotency-Key")).isEqualTo("k1");
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"/a%20b?q=%C3%A4&x=1|2", "//double//slash", "/?", "?only=query", ""})
+  void shouldPassPathOnOrRefuseItWhenItIsUnusual(String path) throws InterruptedException {
+    front.pool.setEndpoints(engine.status("engine-1"));
+    try (RawCaller caller = RawCaller.connect(front)) {
+      caller.send(
+          "GET /services/ordersvc"
+              + path
+              + " HTTP/1.1\r\nHost: t\r\nAuthorization: Bearer "
+              + Front.TOKEN
+              + "\r\n\r\n");
+      assertThat(caller.readUntil("\r\n")).containsAnyOf("200", "400");
+    } catch (java.io.IOException failed) {
+      throw new AssertionError(failed);
+    }
+    assertThat(front.post(CHAT, Front.chat(false)).statusCode()).isEqualTo(200);
+  }
+}
--- /dev/null
+++ b/snipewick/src/test/java/org/snipewick/request/http/ManyCallersTest.java
@@ -0,0 +1,114 @@
+package org.snipewick.request.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.snipewick.endpoint.http.FakeEndpoint;
+
+@Timeout(60)
+class ManyCallersTest {
+  private static final String CHAT = "/v1/chat/completions";
+  private static final int CALLERS = 300;
+  private static final long SEED = 20261204L;
+
+  private final CountDownLatch arrived = new CountDownLatch(CALLERS);
+  private final List<CountDownLatch> turns = new ArrayList<>();
+
+  @Test
+  void shouldGiveEachCallerItsOwnAnswerWhenAnswersComeOutOfOrder() throws Exception {
+    for (int number = 0; number < CALLERS; number++) {
+      turns.add(new CountDownLatch(1));
+    }
+    List<CountDownLatch> order = new ArrayList<>(turns);
+    Collections.shuffle(order, new Random(SEED));
+    try (Front front = Front.start();
+        FakeEndpoint endpoint = FakeEndpoint.start(this::echo)) {
+      front.pool.setEndpoints(endpoint.status("engine-1"));
+      List<CompletableFuture<HttpResponse<String>>> answers = new ArrayList<>();
+      for (int number = 0; number < CALLERS; number++) {
+        answers.add(front.postAsync(CHAT, Front.chat("caller-" + number + ".", number % 2 == 0)));
+      }
+      assertThat(arrived.await(30, TimeUnit.SECONDS)).as("seed " + SEED).isTrue();
+      order.forEach(CountDownLatch::countDown);
+
+      for (int number = 0; number < CALLERS; number++) {
+        assertThat(answers.get(number).join().body())
+            .contains("caller-" + number + ".")
+            .containsOnlyOnce("caller-");
+      }
+      assertThat(endpoint.dispatches()).isEqualTo(CALLERS);
+    }
+  }
+
+  @Test
+  void shouldEndConnectionWhenHeadOrBodyOfRequestIsSlow() throws Exception {
+    CallerServerSettings settings =
+        CallerServerSettings.of(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
+            .withTimeouts(Duration.ofMillis(300), Duration.ofMillis(300));
+    try (Front front = Front.start(settings);
+        RawCaller silent = RawCaller.connect(front);
+        RawCaller slowHead = RawCaller.connect(front);
+        RawCaller slowBody = RawCaller.connect(front)) {
+      slowHead.send("POST " + CHAT + " HTTP/1.1\r\nHost: te");
+      slowBody.send("POST " + CHAT + " HTTP/1.1\r\nContent-Length: 100\r\n\r\n{");
+
+      assertThat(slowBody.readUntil("}")).contains("400", "problem:1001", "did not arrive");
+      assertThat(slowHead.readAll()).doesNotContain("200 OK");
+      assertThat(silent.readAll()).isEmpty();
+    }
+  }
+
+  @Test
+  void shouldCountHeadTimeFromItsFirstByteWhenConnectionWasKept() throws Exception {
+    Duration headTime = Duration.ofSeconds(1);
+    CallerServerSettings settings =
+        CallerServerSettings.of(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
+            .withTimeouts(headTime, headTime);
+    try (Front front = Front.start(settings);
+        RawCaller kept = RawCaller.connect(front)) {
+      kept.send("GET /health HTTP/1.1\r\nHost: test\r\n\r\n");
+      assertThat(kept.readUntil("\r\n\r\n")).contains("200 OK");
+      pass(front, headTime.multipliedBy(2));
+      kept.send("GET /health HTTP/1.1\r\nHost: te");
+      pass(front, headTime.dividedBy(2));
+      kept.send("st\r\nConnection: close\r\n\r\n");
+      assertThat(kept.readAll()).contains("200 OK");
+    }
+  }
+
+  private static void pass(Front front, Duration time) throws Exception {
+    CompletableFuture<Void> passed = new CompletableFuture<>();
+    front.timer.after(time, () -> passed.complete(null));
+    passed.get(10, TimeUnit.SECONDS);
+  }
+
+  private void echo(FakeEndpoint.Call call) throws java.io.IOException {
+    String body = call.body();
+    String name = body.substring(body.indexOf("caller-"), body.indexOf('.') + 1);
+    arrived.countDown();
+    try {
+      turns.get(Integer.parseInt(name.substring(7, name.length() - 1))).await();
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+    }
+    if (body.contains("\"stream\":true")) {
+      call.beginStream();
+      call.event(FakeEndpoint.token(1, true).replace("t1", name));
+      call.done();
+    } else {
+      call.whole(200, FakeEndpoint.completion(name));
+    }
+  }
+}
--- /dev/null
+++ b/snipewick/src/test/java/org/snipewick/request/http/PlannedStopTest.java
@@ -0,0 +1,142 @@
+package org.snipewick.request.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.snipewick.endpoint.http.FakeEndpoint;
+import org.snipewick.event.EventType;
+
+@Timeout(60)
+class PlannedStopTest {
+  private static final String CHAT = "/v1/chat/completions";
+  private static final int CALLS = 20;
+
+  private final Front front = Front.start();
+  private final CountDownLatch begun = new CountDownLatch(CALLS);
+  private final CountDownLatch released = new CountDownLatch(1);
+  private final FakeEndpoint endpoint = FakeEndpoint.start(this::slow);
+
+  PlannedStopTest() {
+    front.pool.setEndpoints(endpoint.status("engine-1"));
+  }
+
+  @AfterEach
+  void stop() {
+    released.countDown();
+    front.close();
+    endpoint.close();
+  }
+
+  @Test
+  void shouldFinishAllThatIsInFlightWhenStopped() throws Exception {
+    List<CompletableFuture<HttpResponse<String>>> calls = new ArrayList<>();
+    for (int number = 0; number < CALLS; number++) {
+      calls.add(front.postAsync(CHAT, Front.chat(number % 2 == 0)));
+    }
+    assertThat(begun.await(20, TimeUnit.SECONDS)).isTrue();
+
+    CompletableFuture<Void> stopped = front.server.stop(Duration.ZERO);
+    front.timer.after(Duration.ofMillis(300), released::countDown);
+
+    for (CompletableFuture<HttpResponse<String>> call : calls) {
+      assertThat(call.join().statusCode()).isEqualTo(200);
+      assertThat(call.join().body()).containsAnyOf("data: [DONE]\n\n", "fine");
+    }
+    stopped.get(20, TimeUnit.SECONDS);
+    assertThatThrownBy(() -> front.get("/health")).hasMessageContaining("ConnectException");
+  }
+
+  @Test
+  void shouldWriteAnswerToItsEndWhenCallerReadsSlowlyDuringStop() throws Exception {
+    String text = "x".repeat(7_500_000);
+    endpoint.setScript(call -> call.whole(200, FakeEndpoint.completion(text)));
+    try (RawCaller caller = RawCaller.connect(front)) {
+      caller.post(CHAT, Front.chat(false), "slow-reader");
+      front.awaitEvent(EventType.REQUEST_DELIVERED);
+
+      final CompletableFuture<Void> stopped = front.server.stop(Duration.ZERO);
+      front.inFlight.drained().get(10, TimeUnit.SECONDS);
+      CompletableFuture<Void> later = new CompletableFuture<>();
+      front.timer.after(Duration.ofMillis(300), () -> later.complete(null));
+      later.join();
+
+      assertThat(stopped).isNotDone();
+      assertThat(caller.readAll()).endsWith(FakeEndpoint.completion(text));
+      stopped.get(20, TimeUnit.SECONDS);
+    }
+  }
+
+  @Test
+  void shouldHaveClosedIdleConnectionsWhenStopIsOver() throws Exception {
+    endpoint.setScript(call -> call.whole(200, FakeEndpoint.completion("fine")));
+    InetSocketAddress bind = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+    CallerServerSettings oneWorker = CallerServerSettings.of(bind).withSizes(1, 8 * 1024 * 1024);
+    try (Front single = Front.start(oneWorker);
+        RawCaller caller = RawCaller.connect(single)) {
+      single.pool.setEndpoints(endpoint.status("engine-1"));
+      caller.post(CHAT, Front.chat(false), "idle-connection");
+      caller.readUntil(FakeEndpoint.completion("fine"));
+
+      CompletableFuture<Boolean> closed =
+          single.server.stop(Duration.ZERO).thenApply(stopped -> caller.isAtEnd());
+
+      assertThat(closed.get(20, TimeUnit.SECONDS)).isTrue();
+    }
+  }
+
+  @Test
+  void shouldServeUntilBalancerIsOffAndRefuseAfterwardsWhenStopped() throws Exception {
+    final CompletableFuture<HttpResponse<String>> open = front.postAsync(CHAT, Front.chat(true));
+    endpoint.awaitLine();
+    final CompletableFuture<Void> stopped = front.server.stop(Duration.ofMillis(1500));
+
+    assertThat(front.get("/health").statusCode()).isEqualTo(503);
+    endpoint.setScript(call -> call.whole(200, FakeEndpoint.completion("late caller")));
+    assertThat(front.post(CHAT, Front.chat(false)).statusCode()).isEqualTo(200);
+
+    CompletableFuture<Void> over = new CompletableFuture<>();
+    front.timer.after(Duration.ofMillis(1600), () -> over.complete(null));
+    over.join();
+    HttpResponse<String> refused = front.post(CHAT, Front.chat(false));
+    assertThat(refused.statusCode()).isEqualTo(503);
+    assertThat(refused.body()).contains("problem:1106", "\"attempt\":\"not-run\"");
+    assertThat(refused.headers().firstValue("Retry-After")).hasValue("1");
+    assertThat(stopped).isNotDone();
+
+    released.countDown();
+    assertThat(open.join().body()).endsWith("data: [DONE]\n\n");
+    stopped.get(20, TimeUnit.SECONDS);
+  }
+
+  private void slow(FakeEndpoint.Call call) throws java.io.IOException {
+    boolean streamed = call.body().contains("\"stream\":true");
+    if (streamed) {
+      call.beginStream();
+      call.tokens(1, 1, 2);
+    }
+    begun.countDown();
+    try {
+      released.await();
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+    }
+    if (streamed) {
+      call.tokens(2, 2, 2);
+      call.done();
+    } else {
+      call.whole(200, FakeEndpoint.completion("fine"));
+    }
+  }
+}
--- /dev/null
+++ b/snipewick/src/test/java/org/snipewick/writer/DomainTableFaultsTest.java
@@ -0,0 +1,248 @@
+package org.snipewick.writer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.junit.jupiter.params.provider.Arguments.arguments;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.snipewick.event.EventLog;
+import org.snipewick.failure.FailureException;
+import org.snipewick.idempotency.KeyState;
+import org.snipewick.idempotency.KeyedRequest;
+import org.snipewick.idempotency.LedgerSettings;
+import org.snipewick.idempotency.StoredAnswer;
+import org.snipewick.idempotency.TableRequestLedger;
+import org.snipewick.identity.InstanceId;
+import org.snipewick.identity.RequestId;
+import org.snipewick.identity.TeamName;
+import org.snipewick.membership.Member;
+import org.snipewick.membership.MembershipView;
+import org.snipewick.membership.SettableMembership;
+import org.snipewick.peer.InMemoryPeers;
+import org.snipewick.peer.PeerNetwork;
+import org.snipewick.platform.InMemoryTable;
+import org.snipewick.platform.Table;
+import org.snipewick.time.VirtualTimerService;
+import org.snipewick.writer.LateTable.Fault;
+
+/** Bookings of one key while the writer of the failure domain fails in all its ways. */
+class DomainTableFaultsTest {
+  private static final String[] NAMES = {"a.1", "a.2", "a.3", "b.1"};
+  private static final Duration ANSWER_TIMEOUT = Duration.ofMillis(1_200);
+  private static final StoredAnswer ANSWER = new StoredAnswer(200, "text/plain", "booked");
+
+  private final VirtualTimerService timer = VirtualTimerService.of(1_800_000_000_000L);
+  private final InMemoryTable table = new InMemoryTable();
+  private final InMemoryPeers peers = new InMemoryPeers(timer, Duration.ofMillis(1));
+  private final List<String> events = new ArrayList<>();
+  private final Map<String, Node> nodes =
+      Stream.of(NAMES).collect(Collectors.toMap(Function.identity(), Node::new));
+  private final Node writer = nodes.get(placed(nodes.get("a.1")));
+  private final Node entry =
+      Stream.of("a.1", "a.2").map(nodes::get).filter(node -> node != writer).findFirst().get();
+  private final Node elsewhere = nodes.get("b.1");
+
+  /** A fault, then what the first claim is told, and a repeat before and after all has landed. */
+  static Stream<Arguments> faults() {
+    return Stream.of(
+        fault("none", "Fresh", 0, test -> {}),
+        fault("writer dies before the write", "Fresh", 1, test -> test.writes(Fault.LOST)),
+        fault("writer dies after the write", "Fresh", 1, test -> test.writes(Fault.ANSWER_LOST)),
+        fault("writer is paused before the write", "Fresh", 1, test -> test.writes(Fault.LATE)),
+        fault("writer writes twice", "Fresh", 0, test -> test.writes(Fault.TWICE)),
+        fault("platform refuses the writer", "Fresh", 0, test -> test.writes(Fault.REJECTED)),
+        fault("writer is paused in its network", "Fresh", 1, test -> test.peers.pause(test.name())),
+        fault("writer's process is gone", "Fresh", 1, test -> test.peers.crash(test.name())),
+        fault(
+            "writer without standing",
+            "Fresh",
+            0,
+            test -> {
+              test.writes(Fault.LOST);
+              test.writer.membership.standing(false, 0);
+            }),
+        fault(
+            "cut off from the writer",
+            "Fresh",
+            1,
+            test -> test.peers.cut(test.entry.id, test.writer.id)),
+        fault(
+            "writer sees another writer",
+            "Fresh",
+            0,
+            test -> {
+              test.writes(Fault.LOST);
+              test.writer.lose(test.writer.id);
+            }),
+        fault(
+            "two writers at once",
+            "Fresh",
+            0,
+            test -> {
+              test.writes(Fault.TWICE);
+              test.entry.lose(test.writer.id);
+            }));
+  }
+
+  private static Arguments fault(
+      String name, String told, int silences, Consumer<DomainTableFaultsTest> act) {
+    return arguments(name, told, silences, act);
+  }
+
+  @ParameterizedTest(name = "{0}")
+  @MethodSource("faults")
+  void shouldTakeEffectOnceWhenCallIsDispatched(
+      String name, String told, int silences, Consumer<DomainTableFaultsTest> act) {
+    act.accept(this);
+    assertThat(told(entry.claim(1))).isEqualTo(told);
+    assertThat(events).hasSize(silences);
+    assertThat(told(elsewhere.claim(2))).isEqualTo("InProgress");
+
+    writer.late.land();
+    assertThat(told(elsewhere.claim(3))).isEqualTo("InProgress");
+    CompletableFuture<Void> completed = entry.ledger.complete(entry.request(1), ANSWER);
+    timer.advance(Duration.ofSeconds(3));
+    assertThat(completed).isCompleted();
+    writer.late.land();
+    assertThat(told(elsewhere.claim(4))).isEqualTo("Ran");
+    assertThat(told(entry.claim(5))).isEqualTo("Ran");
+  }
+
+  @ParameterizedTest(name = "{0}")
+  @MethodSource("faults")
+  void shouldGrantOneOtherCallWhenCallIsGivenUpAndItsWriteIsLate(
+      String name, String told, int silences, Consumer<DomainTableFaultsTest> act) {
+    act.accept(this);
+    assertThat(told(entry.claim(1))).isEqualTo(told);
+    CompletableFuture<Void> released = entry.ledger.releaseNotRun(entry.request(1));
+    timer.advance(Duration.ofSeconds(3));
+    assertThat(released).isCompleted();
+
+    writer.late.land();
+    assertThat(told(elsewhere.claim(2))).isIn("InProgress", "Fresh");
+    timer.advance(Duration.ofMinutes(6));
+    assertThat(told(elsewhere.claim(3))).isIn("Fresh", "InProgress");
+    writer.late.land();
+    assertThat(told(elsewhere.claim(4))).isEqualTo("InProgress");
+    assertThat(told(entry.claim(5))).isIn("InProgress", "Fresh");
+    assertThat(elsewhere.granted + entry.granted).isEqualTo(2);
+  }
+
+  @Test
+  void shouldDeleteLateRowWhenCallThatReplacedAnOwnReleasedRowIsGivenUp() {
+    table.fault(InMemoryTable.Fault.LOST_ANSWER);
+    assertThat(told(entry.claim(1))).isEqualTo("PLATFORM_UNAVAILABLE");
+    table.fault(InMemoryTable.Fault.NONE);
+    writes(Fault.LATE);
+    assertThat(told(entry.claim(2))).isEqualTo("Fresh");
+    var unused = entry.ledger.releaseNotRun(entry.request(2));
+    timer.advance(Duration.ofSeconds(3));
+    writer.late.land();
+    timer.advance(Duration.ofMinutes(6));
+    assertThat(told(elsewhere.claim(3))).isEqualTo("Fresh");
+  }
+
+  @ParameterizedTest(name = "{0}")
+  @MethodSource("faults")
+  void shouldNeverGrantAgainWhenEntryDiesWithItsWriter(
+      String name, String told, int silences, Consumer<DomainTableFaultsTest> act) {
+    act.accept(this);
+    assertThat(told(entry.claim(1))).isEqualTo(told);
+    elsewhere.lose(entry.id);
+    elsewhere.lose(writer.id);
+    writer.late.land();
+    assertThat(told(elsewhere.claim(2))).isEqualTo("Unknown");
+  }
+
+  private void writes(Fault fault) {
+    writer.late.fault(fault);
+  }
+
+  private InstanceId name() {
+    return writer.id;
+  }
+
+  private static String placed(Node node) {
+    return WriterPlacement.of(node.membership.view()).orElseThrow().value();
+  }
+
+  private String told(CompletableFuture<KeyState> claim) {
+    timer.advance(Duration.ofSeconds(3));
+    assertThat(claim).isDone();
+    return claim
+        .handle(
+            (state, failure) ->
+                failure == null
+                    ? state.getClass().getSimpleName()
+                    : FailureException.unwrap(failure).type().name())
+        .join();
+  }
+
+  private final class Node {
+    private final InstanceId id;
+    private final SettableMembership membership;
+    private final LateTable late = new LateTable(table);
+    private final TableRequestLedger ledger;
+    private int granted;
+
+    Node(String name) {
+      id = InstanceId.of(name);
+      membership = new SettableMembership(SettableMembership.viewOf(name, NAMES));
+      PeerNetwork network = peers.join(id);
+      DomainWriter.start(network, membership, late, () -> true);
+      EventLog log = (type, subject, details) -> events.add(type + " " + subject);
+      Table direct = table;
+      DomainTable shared =
+          DomainTable.of(
+              new DomainTable.Tables(direct, late, ANSWER_TIMEOUT),
+              network,
+              membership,
+              timer,
+              log,
+              () -> true);
+      ledger =
+          TableRequestLedger.of(
+              shared,
+              membership,
+              timer,
+              new Random(name.hashCode()),
+              EventLog.none(),
+              LedgerSettings.defaults());
+    }
+
+    CompletableFuture<KeyState> claim(long sequence) {
+      return ledger
+          .claim(request(sequence))
+          .whenComplete((state, failure) -> granted += state instanceof KeyState.Fresh ? 1 : 0);
+    }
+
+    KeyedRequest request(long sequence) {
+      RequestId request = RequestId.of(id, 1, sequence);
+      return new KeyedRequest(request, TeamName.of("team"), "key", "f", true);
+    }
+
+    void lose(InstanceId lost) {
+      MembershipView view = membership.view();
+      membership.change(
+          MembershipView.ofAll(
+              view.self(),
+              view.members().values().stream()
+                  .map(
+                      member ->
+                          member.id().equals(lost) ? member.withState(Member.State.DEAD) : member)
+                  .toList()));
+    }
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/snipewick/standins/command/CommandLine.java
@@ -0,0 +1,69 @@
+package org.snipewick.standins.command;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.ParameterException;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.snipewick.standins.server.StandInServer;
+
+/** Reads the command line and starts the stand-in that it names. */
+public final class CommandLine {
+  private static final int SUCCESS = 0;
+  private static final int FAILURE = 1;
+  private static final int USAGE = 2;
+
+  private final Map<String, StandInCommand> commands = new LinkedHashMap<>();
+  private final JCommander parser;
+
+  private CommandLine() {
+    commands.put("platform", new PlatformCommand());
+    commands.put("engine", new EngineCommand());
+    commands.put("service", new ServiceCommand());
+    JCommander.Builder builder = JCommander.newBuilder().programName("standins");
+    commands.forEach(builder::addCommand);
+    parser = builder.build();
+  }
+
+  /**
+   * Runs a command until the stand-in is stopped.
+   *
+   * @param arguments the command line
+   * @param out where the line goes that tells readiness
+   * @return exit code: 0 after a graceful end, 1 if it cannot start, 2 if the command line is wrong
+   */
+  public static int run(String[] arguments, PrintStream out) {
+    CommandLine line = new CommandLine();
+    try {
+      line.parser.parse(arguments);
+      return line.start(out);
+    } catch (ParameterException | IllegalArgumentException wrong) {
+      System.err.println(wrong.getMessage());
+      line.parser.usage();
+      return USAGE;
+    } catch (IOException | java.io.UncheckedIOException failure) {
+      System.err.println(failure.getMessage());
+      return FAILURE;
+    }
+  }
+
+  private int start(PrintStream out) throws IOException {
+    String kind = parser.getParsedCommand();
+    if (kind == null) {
+      parser.usage();
+      return USAGE;
+    }
+    StandInCommand command = commands.get(kind);
+    if (command.help()) {
+      parser.getCommands().get(kind).usage();
+      return SUCCESS;
+    }
+    StandInServer server = StandInServer.start(command.port(), command.factory());
+    Runtime.getRuntime().addShutdownHook(new Thread(server::close, "shutdown"));
+    out.printf("ready %s %s:%d%n", kind, server.host(), server.port());
+    out.flush();
+    server.awaitEnd();
+    return SUCCESS;
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/snipewick/standins/command/StandInCommand.java
@@ -0,0 +1,24 @@
+package org.snipewick.standins.command;
+
+import com.beust.jcommander.Parameter;
+import java.io.IOException;
+import org.snipewick.standins.server.StandIn;
+
+/** A command that starts one kind of stand-in. */
+abstract class StandInCommand {
+  @Parameter(names = "--port", description = "port on 127.0.0.1, 0 for any free one")
+  private int port;
+
+  @Parameter(names = "--help", help = true, description = "explains the command")
+  private boolean help;
+
+  int port() {
+    return port;
+  }
+
+  boolean help() {
+    return help;
+  }
+
+  abstract StandIn.Factory factory() throws IOException;
+}
--- /dev/null
+++ b/standins/src/main/java/org/snipewick/standins/command/package-info.java
@@ -0,0 +1,2 @@
+/** Command line of the stand-ins. */
+package org.snipewick.standins.command;
--- /dev/null
+++ b/standins/src/main/java/org/snipewick/standins/service/ServiceStandIn.java
@@ -0,0 +1,119 @@
+package org.snipewick.standins.service;
+
+import static java.util.Objects.requireNonNull;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import io.activej.eventloop.Eventloop;
+import io.activej.http.HttpMethod;
+import io.activej.http.HttpResponse;
+import io.activej.promise.Promise;
+import io.activej.promise.Promises;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Supplier;
+import org.snipewick.standins.server.Call;
+import org.snipewick.standins.server.EndpointState;
+import org.snipewick.standins.server.Faults;
+import org.snipewick.standins.server.Responses;
+import org.snipewick.standins.server.StandIn;
+
+/** Stand-in for a plain service; each call that runs takes effect, also when it is a repeat. */
+public final class ServiceStandIn implements StandIn {
+  private final Eventloop eventloop;
+  private final Supplier<Faults> faults;
+  private final ServiceSettings settings;
+  private final EndpointState state = new EndpointState();
+  private final Map<String, Integer> effects = new TreeMap<>();
+  private final Map<String, Integer> byKey = new TreeMap<>();
+  private int running;
+  private long calls;
+
+  private ServiceStandIn(Eventloop eventloop, Supplier<Faults> faults, ServiceSettings settings) {
+    this.eventloop = eventloop;
+    this.faults = faults;
+    this.settings = settings;
+  }
+
+  /**
+   * Returns a factory of services.
+   *
+   * @param settings settings of the service
+   * @return factory
+   */
+  public static Factory of(ServiceSettings settings) {
+    requireNonNull(settings, "settings");
+    return (eventloop, faults) -> new ServiceStandIn(eventloop, faults, settings);
+  }
+
+  @Override
+  public Promise<HttpResponse> serve(Call call) throws JsonProcessingException {
+    if (call.method() == HttpMethod.GET && call.path().equals("/load")) {
+      return Promise.of(Responses.json(200, load()));
+    }
+    if (running >= settings.maxInFlight()) {
+      return Promise.of(Responses.refused("too many calls in flight"));
+    }
+    return run(call, booking(call));
+  }
+
+  private Promise<HttpResponse> run(Call call, String booking) {
+    calls++;
+    running++;
+    state.countDispatch(eventloop.currentTimeMillis());
+    call.header("Idempotency-Key").ifPresent(key -> byKey.merge(key, 1, Integer::sum));
+    if (!booking.isEmpty()) {
+      effects.merge(booking, 1, Integer::sum);
+    }
+    HttpResponse answer = Responses.json(200, answer(call, booking));
+    long millis = Math.round(settings.workMillis() * faults.get().slowFactor());
+    return Promises.delay(millis, answer).whenComplete(() -> running--);
+  }
+
+  private Map<String, Object> answer(Call call, String booking) {
+    Map<String, Object> answer = new LinkedHashMap<>();
+    answer.put("service", settings.name());
+    answer.put("replica", settings.id());
+    answer.put("method", call.method().name());
+    answer.put("path", call.path());
+    answer.put("booking", booking);
+    answer.put("body", call.text());
+    return answer;
+  }
+
+  private static String booking(Call call) {
+    if (call.method() != HttpMethod.POST) {
+      return "";
+    }
+    try {
+      return call.json(JsonNode.class).path("booking").asText("");
+    } catch (JsonProcessingException notJson) {
+      return "";
+    }
+  }
+
+  private Map<String, Object> load() {
+    Map<String, Object> load = new LinkedHashMap<>();
+    load.put("state", state.name());
+    load.put("running", running);
+    load.put("queued", 0);
+    load.put("maxInFlight", settings.maxInFlight());
+    return load;
+  }
+
+  @Override
+  public Promise<HttpResponse> control(Call call) throws JsonProcessingException {
+    return state.control(call, eventloop.currentTimeMillis());
+  }
+
+  @Override
+  public Object truth() {
+    Map<String, Object> truth = new LinkedHashMap<>();
+    truth.put("effects", effects);
+    truth.put("calls", calls);
+    truth.put("byKey", byKey);
+    truth.put("latestAfterLeavingMillis", state.latestAfterLeavingMillis());
+    return truth;
+  }
+}
--- /dev/null
+++ b/standins/src/test/java/org/snipewick/standins/engine/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the stand-in engine. */
+package org.snipewick.standins.engine;
--- /dev/null
+++ b/standins/src/test/java/org/snipewick/standins/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the stand-ins over HTTP. */
+package org.snipewick.standins;
--- /dev/null
+++ b/standins/src/test/java/org/snipewick/standins/service/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the stand-in service. */
+package org.snipewick.standins.service;
--- /dev/null
+++ b/systemtests/src/test/java/org/snipewick/systemtests/DomainCutTest.java
@@ -0,0 +1,190 @@
+package org.snipewick.systemtests;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.snipewick.bench.cluster.Await;
+import org.snipewick.bench.cluster.Cluster;
+import org.snipewick.bench.cluster.Http;
+import org.snipewick.bench.cluster.TestCatalogue;
+import org.snipewick.entry.EntryProcess;
+import org.snipewick.event.EventType;
+import org.snipewick.settings.SettingsReader;
+import org.snipewick.settings.SettingsResult;
+
+/** Failure domains are cut off from each other, with and without the platform. */
+class DomainCutTest {
+  private static final Duration NOTICED = Duration.ofSeconds(20);
+  private static final List<String> INSTANCES = List.of("wien-a.1", "wien-a.2", "linz.1", "linz.2");
+
+  private final AtomicBoolean cut = new AtomicBoolean();
+  private final Map<String, EntryProcess> running = new LinkedHashMap<>();
+  private Cluster cluster;
+
+  @BeforeEach
+  void start() {
+    cluster =
+        Cluster.start()
+            .engine("engine-1", "wien-a")
+            .engine("engine-2", "linz")
+            .service("orders-1", "wien-a")
+            .register(INSTANCES.toArray(String[]::new));
+    INSTANCES.forEach(this::launch);
+    INSTANCES.forEach(cluster::awaitServing);
+    cluster.catalogue("wien-a.1");
+  }
+
+  private void launch(String name) {
+    SettingsResult settings = SettingsReader.of().read(cluster.settingsFile(name));
+    running.put(
+        name,
+        EntryProcess.start(
+            ((SettingsResult.Valid) settings).settings(),
+            network -> new CuttableNetwork(network, Cluster.domain(name), cut)));
+  }
+
+  private void restart(String name) {
+    running.get(name).beginStop();
+    running.get(name).awaitStopped();
+    launch(name);
+    cluster.awaitServing(name);
+  }
+
+  @AfterEach
+  void stop() {
+    running.values().forEach(EntryProcess::beginStop);
+    running.values().forEach(EntryProcess::awaitStopped);
+    cluster.close();
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"{}", "{\"outage\":true}"})
+  void shouldServeOwnEndpointsWhenDomainIsCutOff(String platformFaults) {
+    cutAndAwaitNoticed();
+    cluster.faults("platform", platformFaults);
+    for (String instance : INSTANCES) {
+      HttpResponse<String> plain = cluster.model(instance, "cut", 2, false, Map.of()).join();
+      assertThat(plain.statusCode()).as(plain.body()).isEqualTo(200);
+      String own = Cluster.domain(instance) + "." + instance + platformFaults.length();
+      HttpResponse<String> keyed =
+          cluster.model(instance, "own", 2, false, Map.of("Idempotency-Key", own)).join();
+      assertThat(keyed.statusCode()).as(keyed.body()).isEqualTo(200);
+    }
+  }
+
+  @Test
+  void shouldNeverDispatchTwiceWhenRepeatLandsInDomainThatIsCutOff() {
+    Map<String, String> key = Map.of("Idempotency-Key", "wien-a.question");
+    HttpResponse<String> first = cluster.model("wien-a.1", "once", 2, false, key).join();
+    assertThat(first.statusCode()).as(first.body()).isEqualTo(200);
+    cutAndAwaitNoticed();
+    HttpResponse<String> repeat = cluster.model("linz.1", "once", 2, false, key).join();
+    assertThat(repeat.statusCode()).as(repeat.body()).isEqualTo(503);
+    JsonNode problem = Http.json(repeat.body());
+    assertThat(problem.path("outcome").asText()).isEqualTo("unknown");
+    assertThat(problem.path("attempt").asText()).isEqualTo("not-run");
+    assertThat(repeat.headers().firstValue("Retry-After")).isPresent();
+    cut.set(false);
+    Await.until(
+        NOTICED,
+        "stored answer after the cut",
+        () -> cluster.model("linz.1", "once", 2, false, key).join().body().equals(first.body()));
+    int dispatches =
+        cluster.truth("engine-1").path("byKey").path("wien-a.question").asInt()
+            + cluster.truth("engine-2").path("byKey").path("wien-a.question").asInt();
+    assertThat(dispatches).isEqualTo(1);
+  }
+
+  @Test
+  void shouldCatchUpWhenCatalogueChangedDuringCutAndOutage() {
+    cutAndAwaitNoticed();
+    assertThat(cluster.edit("wien-a.1", 1, TestCatalogue.modelEdit("night")).statusCode())
+        .isEqualTo(200);
+    INSTANCES.forEach(name -> cluster.awaitVersion(name, 2));
+    cluster.faults("platform", "{\"outage\":true}");
+    assertThat(cluster.edit("linz.1", 2, TestCatalogue.modelEdit("lost")).statusCode())
+        .isEqualTo(503);
+    cluster.faults("platform", "{}");
+    Await.until(
+        NOTICED,
+        "an edit after the outage",
+        () -> cluster.edit("linz.1", 2, TestCatalogue.modelEdit("late")).statusCode() == 200);
+    cut.set(false);
+    INSTANCES.forEach(name -> cluster.awaitVersion(name, 3));
+    for (String name : INSTANCES) {
+      assertThat(cluster.admin(name, "/admin/catalogue").toString()).contains("late");
+    }
+  }
+
+  @Test
+  void shouldNeverRevertCatalogueWhenRestartedWithStaleReadsDuringCut() {
+    edit(1, "second");
+    edit(2, "third");
+    INSTANCES.forEach(name -> cluster.awaitVersion(name, 3));
+    cutAndAwaitNoticed();
+    cluster.faults("platform", "{\"staleReads\":true,\"staleMillis\":60000}");
+    restart("linz.1");
+    cluster.awaitVersion("linz.1", 3);
+    edit(3, "fourth");
+    restart("wien-a.2");
+    cluster.awaitVersion("wien-a.1", 4);
+    cluster.awaitVersion("wien-a.2", 4);
+    cluster.faults("platform", "{}");
+    cut.set(false);
+    for (String name : INSTANCES) {
+      cluster.awaitVersion(name, 4);
+      assertThat(cluster.admin(name, "/admin/catalogue").toString()).contains("fourth");
+      assertThat(versionsInForce(name))
+          .isSortedAccordingTo(Comparator.naturalOrder())
+          .doesNotHaveDuplicates()
+          .endsWith(4L);
+    }
+  }
+
+  private void edit(long base, String owner) {
+    HttpResponse<String> answer = cluster.edit("wien-a.1", base, TestCatalogue.modelEdit(owner));
+    assertThat(answer.statusCode()).as(answer.body()).isEqualTo(200);
+  }
+
+  /** Lists the versions that an instance has put into force since its start, in order of time. */
+  private List<Long> versionsInForce(String instance) {
+    List<Long> versions = new ArrayList<>();
+    cluster
+        .admin(instance, "/admin/timeline?subject=catalogue")
+        .path("events")
+        .forEach(
+            event -> {
+              if (event.path("type").asText().equals(EventType.CATALOGUE_IN_FORCE.name())) {
+                versions.add(event.path("details").path("version").asLong());
+              }
+            });
+    return versions;
+  }
+
+  private void cutAndAwaitNoticed() {
+    cut.set(true);
+    Await.until(
+        NOTICED,
+        "linz.1 takes wien-a for dead",
+        () ->
+            cluster.admin("linz.1", "/admin/status").toString().contains("\"wien-a.1\":\"DEAD\""));
+    Await.until(
+        NOTICED,
+        "wien-a.1 takes linz for dead",
+        () ->
+            cluster.admin("wien-a.1", "/admin/status").toString().contains("\"linz.1\":\"DEAD\""));
+  }
+}
--- /dev/null
+++ b/systemtests/src/test/java/org/snipewick/systemtests/DomainRestartTest.java
@@ -0,0 +1,75 @@
+package org.snipewick.systemtests;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.snipewick.bench.cluster.Await;
+import org.snipewick.bench.cluster.Cluster;
+import org.snipewick.bench.cluster.Http;
+
+/** All instances of a failure domain are killed at once after a dispatch, and started anew. */
+class DomainRestartTest {
+  private static final Duration REACTION = Duration.ofSeconds(20);
+  private static final List<String> DOMAIN = List.of("wien-a.1", "wien-a.2");
+  private static final String KEY = "wien-a.question";
+  private Cluster cluster;
+
+  @BeforeEach
+  void start() {
+    cluster =
+        Cluster.start()
+            .engine("engine-1", "wien-a", "--decode-millis-per-token", "40")
+            .engine("engine-2", "linz", "--decode-millis-per-token", "40")
+            .entries("wien-a.1", "wien-a.2", "linz.1")
+            .catalogue("wien-a.1");
+  }
+
+  @AfterEach
+  void stop() {
+    cluster.close();
+  }
+
+  @ParameterizedTest
+  @CsvSource({"wien-a.1, {}", "wien-a.1, {\"outage\":true}", "linz.1, {}"})
+  void shouldNeverDispatchTwiceWhenWholeDomainRestarts(String entry, String platformFaults) {
+    Map<String, String> key = Map.of("Idempotency-Key", KEY);
+    final CompletableFuture<HttpResponse<String>> first =
+        cluster.model(entry, "long route", 60, true, key);
+    Await.until(REACTION, "dispatch", () -> dispatches() == 1);
+    DOMAIN.forEach(name -> cluster.process(name).kill());
+    cluster.faults("platform", platformFaults);
+    DOMAIN.forEach(cluster::launch);
+    DOMAIN.forEach(cluster::awaitServing);
+    DOMAIN.forEach(name -> cluster.awaitVersion(name, 1));
+    for (String instance : List.of("wien-a.1", "linz.1", "wien-a.2", "wien-a.1")) {
+      assertTruthful(cluster.model(instance, "long route", 60, true, key).join(), first);
+    }
+    first.exceptionally(failure -> null).join();
+    assertThat(dispatches()).isEqualTo(1);
+  }
+
+  /** The repeat has the first call's answer, or does not say that the request was not run. */
+  private static void assertTruthful(
+      HttpResponse<String> repeat, CompletableFuture<HttpResponse<String>> first) {
+    if (repeat.statusCode() == 200) {
+      assertThat(repeat.body()).isEqualTo(first.join().body());
+    } else {
+      assertThat(Http.json(repeat.body()).path("outcome").asText())
+          .as(repeat.body())
+          .isIn("unknown", "ran");
+    }
+  }
+
+  private int dispatches() {
+    return cluster.truth("engine-1").path("byKey").path(KEY).asInt()
+        + cluster.truth("engine-2").path("byKey").path(KEY).asInt();
+  }
+}
--- /dev/null
+++ b/systemtests/src/test/java/org/snipewick/systemtests/LinkCutTest.java
@@ -0,0 +1,175 @@
+package org.snipewick.systemtests;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.snipewick.bench.cluster.Await;
+import org.snipewick.bench.cluster.Cluster;
+import org.snipewick.bench.cluster.Http;
+import org.snipewick.bench.cluster.Links;
+import org.snipewick.bench.cluster.TestCatalogue;
+
+/** Processes of two failure domains lose each other, and one of them the platform as well. */
+class LinkCutTest {
+  private static final Duration NOTICED = Duration.ofSeconds(15);
+  private static final Duration AT_ONCE = Duration.ofMillis(1_500);
+  private static final Duration IN_FORCE = Duration.ofSeconds(4);
+  private static final List<String> INSTANCES = List.of("wien-a.1", "wien-a.2", "linz.1", "linz.2");
+  private static final Links LINKS = Links.relayed();
+  private static Cluster cluster;
+
+  @BeforeAll
+  static void start() {
+    cluster =
+        Cluster.start(LINKS)
+            .engine("engine-1", "wien-a", "--decode-millis-per-token", "40")
+            .engine("engine-2", "linz", "--decode-millis-per-token", "40")
+            .service("orders-1", "wien-a")
+            .service("orders-2", "linz")
+            .entries(INSTANCES.toArray(String[]::new))
+            .catalogue("wien-a.1");
+    awaitMembers("ALIVE");
+  }
+
+  @AfterEach
+  void heal() {
+    LINKS.heal();
+    awaitMembers("ALIVE");
+  }
+
+  @AfterAll
+  static void stop() {
+    cluster.close();
+  }
+
+  @ParameterizedTest
+  @CsvSource({"silent, wien-a", "silent, linz", "closing, wien-a", "closing, linz"})
+  void shouldNeverDispatchTwiceWhenDomainsAreCutMidStream(String cut, String home) {
+    String key = home + "." + cut;
+    final CompletableFuture<HttpResponse<String>> first = ask("wien-a.1", key);
+    Await.until(NOTICED, "dispatch", () -> dispatches(key) == 1);
+    cut(cut, "wien-a", "linz");
+    assertTruthful(ask("linz.1", key).join(), first);
+    assertThat(INSTANCES).allSatisfy(LinkCutTest::assertServes);
+    awaitMembers("DEAD");
+    assertTruthful(ask("linz.2", key).join(), first);
+    assertThat(INSTANCES).allSatisfy(LinkCutTest::assertServes);
+    LINKS.heal();
+    assertTruthful(ask("linz.1", key).join(), first);
+    assertThat(first.join().body()).contains("[DONE]");
+    Await.until(NOTICED, "stored answer", () -> ask("linz.1", key).join().statusCode() == 200);
+    assertThat(dispatches(key)).isEqualTo(1);
+  }
+
+  @ParameterizedTest
+  @CsvSource({"silent", "closing"})
+  void shouldServeWithoutPlatformWhenDomainIsCutOffFromAll(String cut) {
+    final CompletableFuture<HttpResponse<String>> stream =
+        cluster.model("linz.1", "stream " + cut, 100, true, Map.of());
+    cut(cut, "linz", "wien-a");
+    cut(cut, "linz", Links.PLATFORM);
+    awaitMembers("DEAD");
+    Await.until(NOTICED, "linz without platform", () -> isWithoutPlatform("linz.1"));
+    Await.until(NOTICED, "linz without platform", () -> isWithoutPlatform("linz.2"));
+    long begin = System.nanoTime();
+    HttpResponse<String> booking = cluster.book("linz.1", "during-" + cut).join();
+    assertThat(Duration.ofNanos(System.nanoTime() - begin)).isLessThan(AT_ONCE);
+    assertThat(booking.statusCode()).as(booking.body()).isEqualTo(503);
+    assertThat(booking.headers().firstValue("Retry-After")).isPresent();
+    assertThat(Http.json(booking.body()).path("attempt").asText()).isEqualTo("not-run");
+    assertThat(INSTANCES).allSatisfy(LinkCutTest::assertServes);
+    assertThat(stream.join().body()).contains("[DONE]");
+    assertThat(cluster.book("wien-a.1", "other-side-" + cut).join().statusCode()).isEqualTo(200);
+    final long version = version("wien-a.1");
+    HttpResponse<String> edit = cluster.edit("wien-a.1", version, TestCatalogue.modelEdit(cut));
+    assertThat(edit.statusCode()).as(edit.body()).isEqualTo(200);
+    assertThat(edit.body()).contains("linz.1", "linz.2");
+    assertThat(version("linz.1")).isEqualTo(version);
+    LINKS.heal();
+    begin = System.nanoTime();
+    cluster.awaitVersion("linz.1", version + 1);
+    cluster.awaitVersion("linz.2", version + 1);
+    assertThat(Duration.ofNanos(System.nanoTime() - begin)).isLessThan(IN_FORCE);
+    Await.until(
+        NOTICED,
+        "bookings after the cut",
+        () -> cluster.book("linz.1", "after-" + cut).join().statusCode() == 200);
+    assertThat(effects("during-" + cut)).isZero();
+    assertThat(effects("after-" + cut)).isEqualTo(1);
+  }
+
+  private static void cut(String kind, String one, String other) {
+    if (kind.equals("silent")) {
+      LINKS.cut(one, other);
+    } else {
+      LINKS.sever(one, other);
+    }
+  }
+
+  private static CompletableFuture<HttpResponse<String>> ask(String instance, String key) {
+    return cluster.model(instance, "long route", 100, true, Map.of("Idempotency-Key", key));
+  }
+
+  /** A repeat gets the whole stored answer, or is told that the call may have run or ran. */
+  private static void assertTruthful(
+      HttpResponse<String> repeat, CompletableFuture<HttpResponse<String>> first) {
+    if (repeat.statusCode() == 200) {
+      assertThat(repeat.body()).isEqualTo(first.join().body());
+      return;
+    }
+    JsonNode problem = Http.json(repeat.body());
+    assertThat(problem.path("outcome").asText()).as(repeat.body()).isIn("unknown", "ran");
+    assertThat(problem.path("attempt").asText()).as(repeat.body()).isEqualTo("not-run");
+  }
+
+  private static void assertServes(String instance) {
+    HttpResponse<String> answer = cluster.model(instance, "new", 2, false, Map.of()).join();
+    assertThat(answer.statusCode()).as(instance + ": " + answer.body()).isEqualTo(200);
+  }
+
+  private static void awaitMembers(String state) {
+    for (String instance : INSTANCES) {
+      Await.until(
+          NOTICED,
+          "members of the other domain are " + state + " for " + instance,
+          () ->
+              INSTANCES.stream()
+                  .filter(other -> !Cluster.domain(other).equals(Cluster.domain(instance)))
+                  .allMatch(
+                      other ->
+                          state.equals(status(instance).path("members").path(other).asText())));
+    }
+  }
+
+  private static JsonNode status(String instance) {
+    return cluster.admin(instance, "/admin/status");
+  }
+
+  private static boolean isWithoutPlatform(String instance) {
+    return !status(instance).path("platformAvailable").asBoolean(true);
+  }
+
+  private static long version(String instance) {
+    return cluster.admin(instance, "/admin/catalogue").path("version").asLong();
+  }
+
+  private static int dispatches(String key) {
+    return cluster.truth("engine-1").path("byKey").path(key).asInt()
+        + cluster.truth("engine-2").path("byKey").path(key).asInt();
+  }
+
+  private static int effects(String booking) {
+    return cluster.truth("orders-1").path("effects").path(booking).asInt()
+        + cluster.truth("orders-2").path("effects").path(booking).asInt();
+  }
+}
--- /dev/null
+++ b/systemtests/src/test/java/org/snipewick/systemtests/OrderTest.java
@@ -0,0 +1,68 @@
+package org.snipewick.systemtests;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.snipewick.bench.cluster.Await;
+import org.snipewick.bench.cluster.Cluster;
+import org.snipewick.bench.cluster.Http;
+
+/** Orders of operators reach endpoints under a lease, each holder with a higher fencing number. */
+class OrderTest {
+
+  @Test
+  void shouldGiveOrdersWithGrowingFencingNumbersWhenInstancesTakeTurns() {
+    try (Cluster cluster =
+        Cluster.start()
+            .engine("engine-1", "wien-a", "--checks-fencing")
+            .entries("wien-a.1", "wien-a.2")
+            .catalogue("wien-a.1")) {
+      for (String instance : List.of("wien-a.1", "wien-a.2", "wien-a.1")) {
+        Await.until(
+            Duration.ofSeconds(40),
+            "order through " + instance,
+            () -> order(cluster, instance).statusCode() == 200);
+      }
+      JsonNode orders = cluster.truth("engine-1").path("orders");
+      assertThat(orders.size()).isEqualTo(3);
+      assertThat(orders.get(1).path("fencing").asLong())
+          .isGreaterThan(orders.get(0).path("fencing").asLong());
+      assertThat(orders.get(2).path("fencing").asLong())
+          .isGreaterThan(orders.get(1).path("fencing").asLong());
+    }
+  }
+
+  @ParameterizedTest
+  @CsvSource({"planner, absent", "another, adapter-7"})
+  void shouldSendNoOrderWhenWeightsOrPoolAreUnknown(String pool, String argument) {
+    try (Cluster cluster =
+        Cluster.start().engine("engine-1", "wien-a").entries("wien-a.1").catalogue("wien-a.1")) {
+      cluster.control("PUT", cluster.address("platform"), "weights", "[\"adapter-7\"]");
+      HttpResponse<String> answer = order(cluster, "wien-a.1", pool, argument);
+
+      assertThat(answer.statusCode()).as(answer.body()).isEqualTo(404);
+      assertThat(Http.json(answer.body()).path("outcome").asText()).isEqualTo("not-run");
+      assertThat(cluster.truth("engine-1").path("orders").size()).isZero();
+    }
+  }
+
+  private static HttpResponse<String> order(Cluster cluster, String instance) {
+    return order(cluster, instance, "planner", "adapter-7");
+  }
+
+  private static HttpResponse<String> order(
+      Cluster cluster, String instance, String pool, String argument) {
+    return cluster.operate(
+        instance,
+        "/admin/pools/" + pool + "/endpoints/engine-1/orders",
+        "{\"order\":\"load\",\"argument\":\"" + argument + "\"}",
+        Map.of());
+  }
+}
--- /dev/null
+++ b/systemtests/src/test/java/org/snipewick/systemtests/PlatformFaultTest.java
@@ -0,0 +1,135 @@
+package org.snipewick.systemtests;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.snipewick.bench.cluster.Await;
+import org.snipewick.bench.cluster.Cluster;
+import org.snipewick.bench.cluster.Http;
+import org.snipewick.bench.cluster.TestCatalogue;
+
+/** The platform is down, slow, or takes writes whose answers are lost. */
+class PlatformFaultTest {
+  private static final Duration RECOVERY = Duration.ofSeconds(15);
+  private Cluster cluster;
+
+  @BeforeEach
+  void start() {
+    cluster =
+        Cluster.start()
+            .engine("engine-1", "wien-a")
+            .service("orders-1", "wien-a")
+            .entries("wien-a.1", "wien-a.2", "linz.1")
+            .catalogue("wien-a.1");
+  }
+
+  @AfterEach
+  void stop() {
+    cluster.close();
+  }
+
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      value = {"{\"outage\":true}", "{\"hang\":true}"})
+  void shouldServeWhatNeedsNoWriteAndRefuseTheRestAtOnceWhenPlatformIsAway(String faults) {
+    assertThat(cluster.book("wien-a.1", "before").join().statusCode()).isEqualTo(200);
+    cluster.faults("platform", faults);
+    for (int index = 0; index < 5; index++) {
+      Map<String, String> key = Map.of("Idempotency-Key", "away-" + index);
+      HttpResponse<String> keyed = cluster.model("wien-a.2", "keyed", 2, false, key).join();
+      assertThat(keyed.statusCode()).as(keyed.body()).isEqualTo(200);
+      HttpResponse<String> plain = cluster.model("linz.1", "plain", 2, false, Map.of()).join();
+      assertThat(plain.statusCode()).as(plain.body()).isEqualTo(200);
+    }
+    HttpResponse<String> booking = cluster.book("wien-a.1", "during").join();
+    assertThat(booking.statusCode()).as(booking.body()).isEqualTo(503);
+    assertThat(booking.headers().firstValue("Retry-After")).isPresent();
+    assertThat(Http.json(booking.body()).path("attempt").asText()).isEqualTo("not-run");
+    long begin = System.nanoTime();
+    assertThat(cluster.book("wien-a.1", "during-2").join().statusCode()).isEqualTo(503);
+    assertThat(Duration.ofNanos(System.nanoTime() - begin)).isLessThan(Duration.ofMillis(1500));
+    cluster.faults("platform", "{}");
+    Await.until(
+        RECOVERY,
+        "bookings after the outage",
+        () -> cluster.book("linz.1", "after").join().statusCode() == 200);
+    assertThat(effects("during")).isEqualTo(0);
+    assertThat(effects("after")).isEqualTo(1);
+  }
+
+  @Test
+  void shouldBookAtMostOnceAndTruthfullyWhenAnswersOfWritesAreLost() {
+    for (int index = 0; index < 6; index++) {
+      String booking = "lost-" + index;
+      cluster.faults("platform", "{\"loseAnswers\":true}");
+      HttpResponse<String> first = cluster.book("wien-a.1", booking).join();
+      cluster.faults("platform", "{}");
+      boolean notRun = Http.json(first.body()).path("attempt").asText().equals("not-run");
+      if (first.statusCode() != 200 && notRun) {
+        assertThat(effects(booking)).as(first.body()).isEqualTo(0);
+      }
+      cluster.book("wien-a.2", booking).join();
+      cluster.book("linz.1", booking).join();
+      assertThat(effects(booking)).as(booking).isLessThanOrEqualTo(1);
+      if (first.statusCode() == 200) {
+        assertThat(effects(booking)).as(booking).isEqualTo(1);
+      }
+    }
+  }
+
+  @Test
+  void shouldTakeCatalogueFromPeersWhenStartedWhilePlatformIsAway() {
+    cluster.process("wien-a.2").kill();
+    cluster.faults("platform", "{\"outage\":true}");
+    cluster.launch("wien-a.2");
+    cluster.awaitServing("wien-a.2");
+    cluster.awaitVersion("wien-a.2", 1);
+    List<String> answers = new ArrayList<>();
+    Await.until(
+        RECOVERY,
+        () -> "service through the restarted instance: " + answers + statuses(),
+        () -> {
+          HttpResponse<String> answer =
+              cluster.model("wien-a.2", "again", 2, false, Map.of()).join();
+          answers.add(answer.body());
+          return answer.statusCode() == 200;
+        });
+  }
+
+  @Test
+  void shouldLetOneWinWhenTwoOperatorsEditAtOnce() {
+    for (long base = 1; base <= 5; base++) {
+      var one = CompletableFuture.supplyAsync(edit("wien-a.1", base, "one"));
+      var two = CompletableFuture.supplyAsync(edit("linz.1", base, "two"));
+      assertThat(List.of(one.join(), two.join())).containsExactlyInAnyOrder(200, 409);
+    }
+  }
+
+  private Supplier<Integer> edit(String instance, long base, String owner) {
+    return () -> cluster.edit(instance, base, TestCatalogue.modelEdit(owner)).statusCode();
+  }
+
+  private String statuses() {
+    return Stream.of("wien-a.1", "wien-a.2", "linz.1")
+        .map(name -> name + ": " + cluster.admin(name, "/admin/status"))
+        .collect(Collectors.joining("\n", "\n", ""));
+  }
+
+  private int effects(String booking) {
+    return cluster.truth("orders-1").path("effects").path(booking).asInt();
+  }
+}
--- /dev/null
+++ b/systemtests/src/test/java/org/snipewick/systemtests/ThinPathTest.java
@@ -0,0 +1,145 @@
+package org.snipewick.systemtests;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.TestInstance;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.snipewick.bench.cluster.Await;
+import org.snipewick.bench.cluster.Cluster;
+import org.snipewick.bench.cluster.Http;
+import org.snipewick.bench.cluster.TestCatalogue;
+
+/** A request goes through real processes to a real stand-in and comes back whole. */
+@TestInstance(TestInstance.Lifecycle.PER_CLASS)
+class ThinPathTest {
+  private Cluster cluster;
+
+  @BeforeAll
+  void start() {
+    cluster =
+        Cluster.start()
+            .engine("engine-1", "wien-a")
+            .engine("engine-2", "linz")
+            .service("orders-1", "wien-a")
+            .entries("wien-a.1", "wien-a.2", "linz.1")
+            .catalogue("wien-a.1");
+  }
+
+  @AfterAll
+  void stop() {
+    cluster.close();
+  }
+
+  @ParameterizedTest
+  @CsvSource({"wien-a.1", "wien-a.2", "linz.1"})
+  void shouldAnswerWholeWhenModelIsAskedThroughAnyInstance(String instance) {
+    HttpResponse<String> answer = cluster.model(instance, "tank seven", 5, false, Map.of()).join();
+    assertThat(answer.statusCode()).as(answer.body()).isEqualTo(200);
+    JsonNode choice = Http.json(answer.body()).path("choices").path(0);
+    assertThat(choice.path("message").path("content").asText()).contains("tank seven");
+    assertThat(choice.path("finish_reason").asText()).isNotEmpty();
+  }
+
+  @Test
+  void shouldEndWithDoneWhenAnswerIsStreamed() {
+    HttpResponse<String> answer =
+        cluster.model("linz.1", "route to Graz", 5, true, Map.of()).join();
+    assertThat(answer.statusCode()).as(answer.body()).isEqualTo(200);
+    assertThat(answer.headers().firstValue("Content-Type").orElse(""))
+        .startsWith("text/event-stream");
+    assertThat(answer.body().strip()).endsWith("data: [DONE]");
+    assertThat(answer.body()).contains("route to Graz");
+  }
+
+  @Test
+  void shouldTakeEffectOnceWhenBookingIsRepeatedInAnotherDomain() {
+    HttpResponse<String> first = cluster.book("wien-a.1", "booking-1").join();
+    HttpResponse<String> second = cluster.book("linz.1", "booking-1").join();
+    assertThat(first.statusCode()).as(first.body()).isEqualTo(200);
+    assertThat(second.statusCode()).as(second.body()).isEqualTo(200);
+    assertThat(second.body()).isEqualTo(first.body());
+    assertThat(cluster.truth("orders-1").path("effects").path("booking-1").asInt()).isEqualTo(1);
+  }
+
+  @Test
+  void shouldDispatchOnceWhenKeyedModelRequestIsRepeatedInAnotherDomain() {
+    Map<String, String> key = Map.of("Idempotency-Key", "question-1");
+    HttpResponse<String> first = cluster.model("wien-a.2", "keyed", 4, false, key).join();
+    HttpResponse<String> second = cluster.model("linz.1", "keyed", 4, false, key).join();
+    assertThat(first.statusCode()).as(first.body()).isEqualTo(200);
+    assertThat(second.body()).isEqualTo(first.body());
+    int dispatches =
+        cluster.truth("engine-1").path("byKey").path("question-1").asInt()
+            + cluster.truth("engine-2").path("byKey").path("question-1").asInt();
+    assertThat(dispatches).isEqualTo(1);
+  }
+
+  @Test
+  void shouldGiveEachCallerItsOwnAnswerWhenManyAskAtOnce() {
+    List<CompletableFuture<HttpResponse<String>>> answers = new ArrayList<>();
+    for (int index = 0; index < 120; index++) {
+      String instance = List.of("wien-a.1", "wien-a.2", "linz.1").get(index % 3);
+      answers.add(cluster.model(instance, "caller<" + index + ">", 3, index % 2 == 0, Map.of()));
+    }
+    for (int index = 0; index < answers.size(); index++) {
+      HttpResponse<String> answer = answers.get(index).join();
+      assertThat(answer.statusCode()).as(answer.body()).isEqualTo(200);
+      assertThat(answer.body()).contains("caller<" + index + ">");
+    }
+  }
+
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "POST|/v1/chat/completions|{\"model\":\"nobody\",\"messages\":[{\"role\":\"user\","
+            + "\"content\":\"x\"}]}|404|not-run",
+        "POST|/v1/chat/completions|{\"model\":\"planner\",\"messages\":[]}|400|not-run",
+        "POST|/v1/chat/completions|{\"model\":|400|not-run",
+        "POST|/services/orders/bookings|{}|400|not-run",
+        "GET|/services/nothing/x||404|not-run",
+        "GET|/nowhere||404|not-run"
+      })
+  void shouldRefuseWithProblemWhenRequestCannotBeServed(
+      String method, String path, String body, int status, String outcome) {
+    HttpResponse<String> answer =
+        cluster.call(method, "wien-a.1", path, body == null ? "" : body, Map.of()).join();
+    assertThat(answer.statusCode()).as(answer.body()).isEqualTo(status);
+    assertThat(answer.headers().firstValue("Content-Type").orElse(""))
+        .startsWith("application/problem+json");
+    assertThat(Http.json(answer.body()).path("outcome").asText()).isEqualTo(outcome);
+  }
+
+  @Test
+  void shouldRefuseWhenTeamIsUnknown() {
+    Map<String, String> wrong = Map.of("Authorization", "Bearer nobody");
+    HttpResponse<String> answer = cluster.model("wien-a.1", "x", 1, false, wrong).join();
+    assertThat(answer.statusCode()).isEqualTo(401);
+  }
+
+  @Test
+  void shouldBeInForceEverywhereWithinFourSecondsWhenCatalogueChanges() {
+    long base = cluster.admin("linz.1", "/admin/catalogue").path("version").asLong();
+    HttpResponse<String> answer = cluster.edit("linz.1", base, TestCatalogue.modelEdit("night"));
+    assertThat(answer.statusCode()).as(answer.body()).isEqualTo(200);
+    for (String instance : List.of("wien-a.1", "wien-a.2", "linz.1")) {
+      Await.until(
+          Duration.ofSeconds(4),
+          "change on " + instance,
+          () -> cluster.admin(instance, "/admin/catalogue").toString().contains("night"));
+    }
+    assertThat(cluster.edit("wien-a.1", base, TestCatalogue.modelEdit("late")).statusCode())
+        .isEqualTo(409);
+  }
+}
--- /dev/null
+++ b/systemtests/src/test/java/org/snipewick/systemtests/TierOrderTest.java
@@ -0,0 +1,109 @@
+package org.snipewick.systemtests;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.module.paramnames.ParameterNamesModule;
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.snipewick.bench.cluster.Cluster;
+import org.snipewick.event.Event;
+import org.snipewick.pool.TierOrderCheck;
+
+/** Under load over several instances, a program looks for a tier that was shed too early. */
+class TierOrderTest {
+  private static final List<String> INSTANCES = List.of("wien-a.1", "wien-a.2", "wien-a.3");
+  private static final ObjectMapper MAPPER =
+      new ObjectMapper().registerModule(new ParameterNamesModule());
+
+  private Cluster cluster;
+
+  @BeforeEach
+  void start() {
+    String[] slow = {"--max-in-flight", "3", "--decode-millis-per-token", "30"};
+    cluster =
+        Cluster.start()
+            .engine("engine-1", "wien-a", slow)
+            .engine("engine-2", "wien-a", slow)
+            .entries(INSTANCES.toArray(String[]::new))
+            .catalogue("wien-a.1");
+  }
+
+  @AfterEach
+  void stop() {
+    cluster.close();
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"none", "kill", "pause"})
+  void shouldShedLowerTierFirstWhenLoadExceedsCapacity(String fault) {
+    List<CompletableFuture<HttpResponse<String>>> high = new ArrayList<>();
+    List<CompletableFuture<HttpResponse<String>>> low = new ArrayList<>();
+    for (int index = 0; index < 160; index++) {
+      boolean isHigh = index % 8 == 0;
+      CompletableFuture<HttpResponse<String>> answer =
+          cluster.model(
+              INSTANCES.get(index % 2),
+              "load " + index,
+              20,
+              false,
+              Map.of(
+                  "Snipewick-Class", isHigh ? "1" : "4",
+                  "Snipewick-Timeout-Ms", isHigh ? "15000" : "4000"));
+      (isHigh ? high : low).add(answer);
+    }
+    strike(fault);
+    high.forEach(CompletableFuture::join);
+    long shedLow = low.stream().filter(answer -> answer.join().statusCode() != 200).count();
+    if (fault.equals("pause")) {
+      cluster.process("wien-a.3").resume();
+    }
+    assertThat(shedLow).isPositive();
+    assertThat(high)
+        .allSatisfy(
+            answer ->
+                assertThat(answer.join().statusCode()).as(answer.join().body()).isEqualTo(200));
+    assertThat(TierOrderCheck.violations(events(fault))).isEmpty();
+  }
+
+  private void strike(String fault) {
+    if (fault.equals("kill")) {
+      cluster.process("wien-a.3").kill();
+    } else if (fault.equals("pause")) {
+      cluster.process("wien-a.3").pause();
+    }
+  }
+
+  private List<Event> events(String fault) {
+    List<Event> events = new ArrayList<>();
+    for (String instance : INSTANCES) {
+      if (fault.equals("kill") && instance.equals("wien-a.3")) {
+        continue;
+      }
+      cluster
+          .admin(instance, "/admin/timeline")
+          .path("events")
+          .forEach(event -> events.add(parse(event)));
+    }
+    events.sort(Comparator.comparingLong(Event::epochMicros));
+    return events;
+  }
+
+  private static Event parse(JsonNode event) {
+    try {
+      return MAPPER.treeToValue(event, Event.class);
+    } catch (JsonProcessingException failure) {
+      throw new AssertionError(failure);
+    }
+  }
+}
--- /dev/null
+++ b/systemtests/src/test/java/org/snipewick/systemtests/platform/DoubtfulWritesFaultsTest.java
@@ -0,0 +1,118 @@
+package org.snipewick.systemtests.platform;
+
+import static java.util.concurrent.TimeUnit.SECONDS;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.snipewick.event.EventLog;
+import org.snipewick.platform.DoubtfulWrites;
+import org.snipewick.platform.Row;
+import org.snipewick.platform.Table;
+import org.snipewick.platform.Write;
+import org.snipewick.platform.WriteResult;
+import org.snipewick.platform.WriteResult.Ambiguous;
+import org.snipewick.platform.WriteResult.Applied;
+import org.snipewick.platform.WriteResult.Conflict;
+
+/** Doubtful writes against the stand-in platform, with the faults that make writes doubtful. */
+final class DoubtfulWritesFaultsTest {
+  private static final String LOST = "{\"loseAnswers\":true}";
+  private static final String LATE = "{\"delayMillis\":2000}";
+  private static final String HANG = "{\"hang\":true}";
+
+  private final PlatformFixture fixture =
+      PlatformFixture.start(settings -> settings.withTimeoutMillis(1_000));
+  private final Table table = fixture.platform().table();
+  private final DoubtfulWrites doubtful =
+      DoubtfulWrites.of(
+          table, fixture.timer(), EventLog.none(), new Random(11), Duration.ofSeconds(10));
+
+  @AfterEach
+  void stop() {
+    fixture.close();
+  }
+
+  private static <T> T await(CompletableFuture<T> future) {
+    return future.orTimeout(20, SECONDS).join();
+  }
+
+  private Write write(String kind) {
+    if (kind.equals("insert")) {
+      return Write.insert("row", "mine");
+    }
+    long version = ((Applied) await(table.write(Write.insert("row", "before")))).version();
+    return kind.equals("replace")
+        ? Write.replace("row", version, "mine")
+        : Write.delete("row", version);
+  }
+
+  private Optional<String> value() {
+    fixture.faults("{}");
+    return await(table.read("row")).map(Row::value);
+  }
+
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        // write | fault of the write | faults while it is resolved
+        "insert  | lost               | {}",
+        "replace | lost               | {}",
+        "delete  | lost               | {}",
+        "insert  | hang               | {}",
+        "replace | hang               | {}",
+        "delete  | hang               | {}",
+        "insert  | late               | {}",
+        "replace | late               | {}",
+        "delete  | late               | {}",
+        "insert  | lost               | {\"staleReads\":true,\"staleMillis\":60000}",
+        "replace | lost               | {\"staleReads\":true,\"staleMillis\":60000}",
+        "insert  | hang               | {\"staleReads\":true,\"staleMillis\":60000}",
+        "insert  | lost               | {\"loseAnswers\":true}",
+        "replace | lost               | {\"loseAnswers\":true}",
+      })
+  void shouldFindOwnWriteWhenAnswerIsLost(String kind, String fault, String faultsAfter) {
+    final Write write = write(kind);
+    fixture.faults(faults(fault));
+    assertThat(await(table.write(write))).isInstanceOf(Ambiguous.class);
+    fixture.faults(faultsAfter);
+
+    WriteResult result = await(doubtful.resolve(write, row -> row.value().equals("mine")));
+
+    assertThat(result).isInstanceOf(Applied.class);
+    assertThat(value()).isEqualTo(kind.equals("delete") ? Optional.empty() : Optional.of("mine"));
+  }
+
+  @ParameterizedTest
+  @CsvSource({"insert", "replace"})
+  void shouldFindConflictWhenAnotherWriterCameFirst(String kind) {
+    Write write = write(kind);
+    fixture.faults(HANG);
+    assertThat(await(table.write(write))).isInstanceOf(Ambiguous.class);
+    fixture.faults("{}");
+    Write other =
+        write instanceof Write.Replace replace
+            ? Write.replace("row", replace.version(), "other")
+            : Write.insert("row", "other");
+    assertThat(await(table.write(other))).isInstanceOf(Applied.class);
+
+    WriteResult result = await(doubtful.resolve(write, row -> row.value().equals("mine")));
+
+    assertThat(result).isInstanceOf(Conflict.class);
+    assertThat(value()).contains("other");
+  }
+
+  private static String faults(String name) {
+    return switch (name) {
+      case "lost" -> LOST;
+      case "late" -> LATE;
+      default -> HANG;
+    };
+  }
+}
--- /dev/null
+++ b/systemtests/src/test/java/org/snipewick/systemtests/platform/HttpObjectStoreTest.java
@@ -0,0 +1,35 @@
+package org.snipewick.systemtests.platform;
+
+import org.junit.jupiter.api.AfterEach;
+import org.snipewick.platform.ObjectStore;
+import org.snipewick.platform.ObjectStoreContract;
+
+/** Shows that the object store over HTTP keeps the contract. */
+final class HttpObjectStoreTest extends ObjectStoreContract {
+  private final PlatformFixture fixture = PlatformFixture.start(settings -> settings);
+
+  @AfterEach
+  void stop() {
+    fixture.close();
+  }
+
+  @Override
+  protected ObjectStore objects() {
+    return fixture.platform().objects();
+  }
+
+  @Override
+  protected void failCalls() {
+    fixture.faults("{\"outage\":true}");
+  }
+
+  @Override
+  protected void loseAnswers() {
+    fixture.faults("{\"loseAnswers\":true}");
+  }
+
+  @Override
+  protected void heal() {
+    fixture.faults("{}");
+  }
+}
--- /dev/null
+++ b/systemtests/src/test/java/org/snipewick/systemtests/platform/HttpTableFaultsTest.java
@@ -0,0 +1,163 @@
+package org.snipewick.systemtests.platform;
+
+import static java.util.concurrent.TimeUnit.SECONDS;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.UnaryOperator;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.snipewick.platform.Row;
+import org.snipewick.platform.Table;
+import org.snipewick.platform.Write;
+import org.snipewick.platform.WriteResult;
+import org.snipewick.platform.WriteResult.Ambiguous;
+import org.snipewick.platform.WriteResult.Applied;
+import org.snipewick.platform.WriteResult.Rejected;
+import org.snipewick.platform.http.PlatformSettings;
+import org.snipewick.platform.http.PlatformSettings.Batching;
+import org.snipewick.platform.http.PlatformSettings.Retry;
+
+/** Faults of the platform that only an adapter over a network meets. */
+final class HttpTableFaultsTest {
+  private static final Retry NO_RETRY = new Retry(1, 1, 1, 0);
+  private PlatformFixture fixture;
+
+  private Table start(UnaryOperator<PlatformSettings> change) {
+    fixture = PlatformFixture.start(change);
+    return fixture.platform().table();
+  }
+
+  @AfterEach
+  void stop() {
+    fixture.close();
+  }
+
+  private static <T> T await(CompletableFuture<T> future) {
+    return future.orTimeout(20, SECONDS).join();
+  }
+
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        // faults                  | result of a write | its effect
+        "{}                        | Applied           | true",
+        "{\"delayMillis\":100}     | Applied           | true",
+        "{\"outage\":true}         | Rejected          | false",
+        "{\"refuse\":true}         | Rejected          | false",
+        "{\"hang\":true}           | Ambiguous         | false",
+        "{\"loseAnswers\":true}    | Ambiguous         | true",
+      })
+  void shouldClassResultWhenFaultStrikes(String faults, String result, boolean effect) {
+    Table table = start(settings -> settings.withTimeoutMillis(1_500).withRetry(NO_RETRY));
+    fixture.faults(faults);
+
+    WriteResult actual = await(table.write(Write.insert("row", "value")));
+
+    fixture.faults("{}");
+    assertThat(actual.getClass().getSimpleName()).isEqualTo(result);
+    assertThat(await(table.read("row")).isPresent()).isEqualTo(effect);
+  }
+
+  @Test
+  void shouldBeAmbiguousWhenEffectComesAfterTheTimeout() {
+    Table table = start(settings -> settings.withTimeoutMillis(1_000).withRetry(NO_RETRY));
+    fixture.faults("{\"delayMillis\":2000}");
+
+    assertThat(await(table.write(Write.insert("row", "value")))).isInstanceOf(Ambiguous.class);
+
+    fixture.faults("{}");
+    Stream<List<Row>> scans = Stream.generate(() -> await(table.scan("row")));
+    assertThat(scans.filter(rows -> !rows.isEmpty()).findFirst()).isPresent();
+  }
+
+  @Test
+  void shouldRejectWhenConnectionIsRefused() {
+    Table table = start(settings -> settings.withRetry(NO_RETRY));
+    fixture.stopPlatform();
+
+    assertThat(await(table.write(Write.insert("row", "value")))).isInstanceOf(Rejected.class);
+  }
+
+  @Test
+  void shouldShareTheCallWhenEqualReadsAreInFlight() {
+    Table table = start(settings -> settings);
+    fixture.faults("{\"delayMillis\":300}");
+
+    var reads = IntStream.range(0, 50).mapToObj(index -> table.read("row")).toList();
+    reads.forEach(HttpTableFaultsTest::await);
+
+    assertThat(fixture.truth().path("reads").asInt()).isEqualTo(1);
+  }
+
+  @Test
+  void shouldCountEachRowExactlyWhenTheRateIsExceeded() {
+    fixture =
+        PlatformFixture.start(
+            20,
+            0,
+            settings ->
+                settings
+                    .withRates(1_000, 1_000)
+                    .withRetry(NO_RETRY)
+                    .withBatching(new Batching(1, 0, 1_000)));
+    Table table = fixture.platform().table();
+
+    var writes =
+        IntStream.range(0, 60)
+            .mapToObj(index -> table.write(Write.insert("row/" + index, "value")))
+            .toList();
+    var results = writes.stream().map(HttpTableFaultsTest::await).toList();
+
+    long applied = results.stream().filter(Applied.class::isInstance).count();
+    assertThat(results).hasAtLeastOneElementOfType(Rejected.class);
+    assertThat(results).hasOnlyElementsOfTypes(Applied.class, Rejected.class);
+    assertThat(fixture.truth().path("rows").asLong()).isEqualTo(applied);
+  }
+
+  @Test
+  void shouldStayUnderThePlatformsRateWhenManyWritersCompete() {
+    fixture =
+        PlatformFixture.start(
+            50, 0, settings -> settings.withTimeoutMillis(10_000).withRates(40, 1_000));
+    Table table = fixture.platform().table();
+
+    var writes =
+        IntStream.range(0, 2_000)
+            .mapToObj(index -> table.write(Write.insert("row/" + index, "value")))
+            .toList();
+
+    assertThat(writes.stream().map(HttpTableFaultsTest::await))
+        .hasOnlyElementsOfType(Applied.class);
+    assertThat(fixture.truth().path("writes").asInt()).isLessThanOrEqualTo(20);
+  }
+
+  @Test
+  void shouldRejectAtOnceWhenTooManyWritesWait() {
+    Table table = start(settings -> settings.withBatching(new Batching(10, 0, 20)));
+    fixture.faults("{\"hang\":true}");
+
+    var writes =
+        IntStream.range(0, 100)
+            .mapToObj(index -> table.write(Write.insert("row/" + index, "value")))
+            .toList();
+
+    long rejected = writes.stream().filter(write -> write.getNow(null) != null).count();
+    assertThat(rejected).isGreaterThanOrEqualTo(60);
+  }
+
+  @Test
+  void shouldReadOlderRowWhenReadsAreStale() {
+    Table table = start(settings -> settings);
+    await(table.write(Write.insert("row", "value")));
+    fixture.faults("{\"staleReads\":true,\"staleMillis\":60000}");
+
+    assertThat(await(table.read("row"))).isEmpty();
+  }
+}
--- /dev/null
+++ b/systemtests/src/test/java/org/snipewick/systemtests/platform/HttpTableTest.java
@@ -0,0 +1,35 @@
+package org.snipewick.systemtests.platform;
+
+import org.junit.jupiter.api.AfterEach;
+import org.snipewick.platform.Table;
+import org.snipewick.platform.TableContract;
+
+/** Shows that the table over HTTP keeps the contract. */
+final class HttpTableTest extends TableContract {
+  private final PlatformFixture fixture = PlatformFixture.start(settings -> settings);
+
+  @AfterEach
+  void stop() {
+    fixture.close();
+  }
+
+  @Override
+  protected Table table() {
+    return fixture.platform().table();
+  }
+
+  @Override
+  protected void failCalls() {
+    fixture.faults("{\"outage\":true}");
+  }
+
+  @Override
+  protected void loseAnswers() {
+    fixture.faults("{\"loseAnswers\":true}");
+  }
+
+  @Override
+  protected void heal() {
+    fixture.faults("{}");
+  }
+}
--- /dev/null
+++ b/systemtests/src/test/java/org/snipewick/systemtests/platform/HttpWeightStoreTest.java
@@ -0,0 +1,44 @@
+package org.snipewick.systemtests.platform;
+
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.snipewick.platform.WeightStore;
+import org.snipewick.platform.WeightStoreContract;
+
+/** Shows that the weight store over HTTP keeps the contract. */
+final class HttpWeightStoreTest extends WeightStoreContract {
+  private static final double READS_PER_SECOND = 100;
+  private static final double LOW_READS_PER_SECOND = 0.01;
+  private static final int MORE_THAN_LOW_RATE = 3;
+
+  private PlatformFixture fixture = PlatformFixture.startWithWeightRate(READS_PER_SECOND);
+
+  @AfterEach
+  void stop() {
+    fixture.close();
+  }
+
+  @Override
+  protected WeightStore weights() {
+    return fixture.platform().weights();
+  }
+
+  @Override
+  protected void store(List<String> names) {
+    fixture.put("/control/weights", names);
+  }
+
+  @Override
+  protected void failCalls() {
+    fixture.faults("{\"outage\":true}");
+  }
+
+  @Override
+  protected void exceedRate() {
+    fixture.close();
+    fixture = PlatformFixture.startWithWeightRate(LOW_READS_PER_SECOND);
+    for (int index = 0; index < MORE_THAN_LOW_RATE; index++) {
+      fixture.get("/weights/routeplanner");
+    }
+  }
+}
--- /dev/null
+++ b/systemtests/src/test/java/org/snipewick/systemtests/platform/PlatformOutageTest.java
@@ -0,0 +1,66 @@
+package org.snipewick.systemtests.platform;
+
+import static java.util.concurrent.TimeUnit.SECONDS;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.snipewick.event.EventType;
+import org.snipewick.failure.Failure;
+import org.snipewick.failure.FailureException;
+import org.snipewick.failure.FailureType;
+import org.snipewick.platform.Table;
+import org.snipewick.platform.Write;
+import org.snipewick.platform.WriteResult;
+import org.snipewick.platform.WriteResult.Applied;
+import org.snipewick.platform.WriteResult.Rejected;
+import org.snipewick.platform.http.PlatformSettings;
+
+/** An outage is met by refusals at once, and its end is found by probes. */
+final class PlatformOutageTest {
+  private static final int MAX_CALLS = 10;
+
+  private final PlatformFixture fixture =
+      PlatformFixture.start(
+          settings ->
+              settings
+                  .withTimeoutMillis(2_000)
+                  .withCircuit(new PlatformSettings.Circuit(3, 50))
+                  .withRetry(new PlatformSettings.Retry(2, 5, 10, 0.2)));
+  private final Table table = fixture.platform().table();
+
+  @AfterEach
+  void stop() {
+    fixture.close();
+  }
+
+  private static <T> T await(CompletableFuture<T> future) {
+    return future.orTimeout(20, SECONDS).join();
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"{\"outage\":true}", "{\"hang\":true}", "{\"delayMillis\":5000}"})
+  void shouldFailAtOnceUntilPlatformIsBackWhenItIsOut(String faults) {
+    fixture.faults(faults);
+    for (int call = 0; call < MAX_CALLS && fixture.platform().health().isAvailable(); call++) {
+      await(table.read("row").handle((row, thrown) -> thrown));
+    }
+    fixture.awaitEvent(EventType.PLATFORM_LOST);
+
+    CompletableFuture<?> read = table.read("row");
+    CompletableFuture<WriteResult> write = table.write(Write.insert("row", "value"));
+
+    assertThat(read).isCompletedExceptionally();
+    Failure failure = read.handle((row, thrown) -> FailureException.unwrap(thrown)).join();
+    assertThat(failure.type()).isEqualTo(FailureType.PLATFORM_UNAVAILABLE);
+    assertThat(failure.retryAfter()).isPresent();
+    assertThat(write.getNow(null)).isInstanceOf(Rejected.class);
+
+    fixture.faults("{}");
+    fixture.awaitEvent(EventType.PLATFORM_REGAINED);
+    assertThat(fixture.platform().health().isAvailable()).isTrue();
+    assertThat(await(table.write(Write.insert("row", "value")))).isInstanceOf(Applied.class);
+  }
+}
