Grant first claims when a member knows another by the list alone

Cause: a member that has read the platform's list, or its seeds, lists the others with incarnation 0 until it hears them. Asked by a registrar in that time it named such an entry as a running process; the real process answered under its real incarnation, so the entry counted as a lost one, and one loss in a domain that has just started makes every key without age unknown for two minutes. Needs three members in a domain. Ruled out: that this alone explains the refused landings. The key of FaultPairsTest has its home in a domain of one member, where nobody else is asked; InstanceDeathTest has two members there. Change: an entry without incarnation is no loss if any process of that instance answers; it still is if none does.

--- a/snipewick/src/main/java/org/snipewick/idempotency/ClaimEvidence.java
+++ b/snipewick/src/main/java/org/snipewick/idempotency/ClaimEvidence.java
@@ -9,7 +9,9 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
+import java.util.stream.Collectors;
 import org.snipewick.idempotency.KeyRecord.Status;
+import org.snipewick.identity.InstanceId;
 import org.snipewick.identity.RequestId;
 import org.snipewick.membership.Loss;
 
@@ -52,15 +54,22 @@
     return best;
   }
 
-  /** Lists lost processes, among them those that a member takes for running but did not answer. */
+  /**
+   * Lists lost processes, among them those that a member takes for running but did not answer. A
+   * member that knows an instance by the platform's list alone says nothing of its process: it is
+   * not lost if any process of that instance answers.
+   */
   private List<Loss> lost(List<IdempotencyMessages.Told> told, long now) {
     Set<MemberProcess> answered = new HashSet<>(Set.of(losses.self()));
     told.forEach(each -> answered.add(each.self()));
+    Set<InstanceId> present =
+        answered.stream().map(MemberProcess::instance).collect(Collectors.toSet());
     List<Loss> lost = new ArrayList<>(losses.known());
     for (IdempotencyMessages.Told each : told) {
       lost.addAll(each.losses());
       each.running().stream()
           .filter(process -> !answered.contains(process))
+          .filter(process -> process.isHeard() || !present.contains(process.instance()))
           .map(process -> new Loss(process.instance(), process.incarnation(), now))
           .forEach(lost::add);
     }
--- a/snipewick/src/main/java/org/snipewick/idempotency/MemberProcess.java
+++ b/snipewick/src/main/java/org/snipewick/idempotency/MemberProcess.java
@@ -29,4 +29,9 @@
   public static MemberProcess of(Member member) {
     return new MemberProcess(member.id(), member.incarnation());
   }
+
+  /** Tells whether the process itself was heard, and is not only expected by a list. */
+  boolean isHeard() {
+    return incarnation != 0;
+  }
 }
