Let callers in only once keys can be claimed

Cause: an instance said that it was healthy after at most 3 s, and at once when its first write of the domain's presence row got no answer. Until the row was settled (tried every 5 s) every key of the domain was told unknown, so the first calls after a slow start were never dispatched. Change: the address for callers opens when the catalogue is loaded, the row is settled and the instance has standing, or after 7 s; the row is tried every second. An instance that starts in an outage serves after 7 s (3 s before).

--- a/bench/src/main/java/org/snipewick/bench/cluster/Http.java
+++ b/bench/src/main/java/org/snipewick/bench/cluster/Http.java
@@ -61,6 +61,19 @@
     return send(method, url, body, headers).join();
   }
 
+  /**
+   * Says what a call has led to so far, for the message of a failed test.
+   *
+   * @param call call that may still be under way
+   * @return status and body, the failure, or that there is no answer yet
+   */
+  public static String progress(CompletableFuture<HttpResponse<String>> call) {
+    return call.handle(
+            (answer, failure) ->
+                failure == null ? answer.statusCode() + " " + answer.body() : failure.toString())
+        .getNow("no answer yet");
+  }
+
   /**
    * Parses JSON.
    *
--- a/snipewick/src/main/java/org/snipewick/entry/EntryProcess.java
+++ b/snipewick/src/main/java/org/snipewick/entry/EntryProcess.java
@@ -25,10 +25,14 @@
 import org.snipewick.request.http.CallerServer;
 import org.snipewick.request.http.CallerServerSettings;
 import org.snipewick.settings.Settings;
+import org.snipewick.time.TimerService;
 
 /** Running process of an entry instance. */
 public final class EntryProcess {
-  private static final Duration PRESENCE_TIMEOUT = Duration.ofSeconds(3);
+  /** Covers the five attempts of a first write, each of which waits for the platform for 1 s. */
+  private static final Duration START_TIMEOUT = Duration.ofSeconds(7);
+
+  private static final Duration STANDING_POLL = Duration.ofMillis(50);
   private static final Duration HAND_OVER_TIMEOUT = Duration.ofSeconds(3);
   private static final Duration DEPARTURE_DELAY = Duration.ofMillis(200);
 
@@ -85,7 +89,8 @@
     foundation.membership().carry(catalogue);
     foundation.membership().start();
     CompletableFuture<Void> loaded = catalogue.start();
-    awaitQuietly(CompletableFuture.allOf(loaded, keys.presence()), PRESENCE_TIMEOUT);
+    awaitQuietly(
+        CompletableFuture.allOf(loaded, keys.presence(), standing(foundation)), START_TIMEOUT);
     try {
       EntryProcess process = new EntryProcess(foundation, catalogue, keys, scheduling);
       Runtime.getRuntime().addShutdownHook(new Thread(process::stopAndWait, "planned-stop"));
@@ -96,6 +101,25 @@
     }
   }
 
+  /**
+   * Completes once the instance has standing. Callers that are let in earlier wait for it, and may
+   * be refused for keys that are remembered here.
+   */
+  private static CompletableFuture<Void> standing(Foundation foundation) {
+    CompletableFuture<Void> gained = new CompletableFuture<>();
+    TimerService.Subscription poll =
+        foundation
+            .timer()
+            .every(
+                STANDING_POLL,
+                () -> {
+                  if (foundation.membership().hasStanding()) {
+                    gained.complete(null);
+                  }
+                });
+    return gained.whenComplete((done, failure) -> poll.cancel());
+  }
+
   private static CatalogueController catalogue(Foundation foundation) {
     return CatalogueController.of(
         foundation.membership(),
--- a/snipewick/src/main/java/org/snipewick/idempotency/PresenceController.java
+++ b/snipewick/src/main/java/org/snipewick/idempotency/PresenceController.java
@@ -25,13 +25,17 @@
  */
 public final class PresenceController {
   private static final String PREFIX = "presence/";
-  private static final Duration RETRY_PERIOD = Duration.ofSeconds(5);
+
+  /** In an outage the platform's circuit breaker keeps these tries from it. */
+  private static final Duration RETRY_PERIOD = Duration.ofSeconds(1);
+
   private static final ObjectMapper MAPPER = new ObjectMapper();
 
   private final RegistrarLedger ledger;
   private final StrongTable table;
   private final Write row;
   private final String value;
+  private final CompletableFuture<PresenceController> settled = new CompletableFuture<>();
   private final TimerService.Subscription retry;
 
   private PresenceController(Table table, RegistrarLedger ledger) {
@@ -46,16 +50,16 @@
 
   /**
    * Inserts the row of the domain and tells the ledger if it was not there, at once or later. The
-   * instance should accept callers only after the returned future has completed.
+   * instance should wait a while for the returned future before it accepts callers.
    *
    * @param table the platform's table
    * @param ledger ledger that is told whether the domain was empty
-   * @return controller, once the row is there or the platform has failed to answer; it goes on
-   *     trying in the latter case
+   * @return controller, once the row is there; it goes on trying until then
    */
   public static CompletableFuture<PresenceController> start(Table table, RegistrarLedger ledger) {
     PresenceController controller = new PresenceController(table, ledger);
-    return controller.insert().handle((done, failure) -> controller);
+    controller.insertAgain();
+    return controller.settled;
   }
 
   private void insertAgain() {
@@ -73,6 +77,7 @@
               }
               if (inserted || resolved.result() instanceof WriteResult.Conflict) {
                 retry.cancel();
+                settled.complete(this);
               }
             });
   }
--- a/systemtests/src/test/java/org/snipewick/systemtests/FaultPairsTest.java
+++ b/systemtests/src/test/java/org/snipewick/systemtests/FaultPairsTest.java
@@ -88,7 +88,17 @@
   void shouldKeepPromisesWhenTwoFaultsComeTogether(Pair pair) {
     final CompletableFuture<HttpResponse<String>> booking = cluster.book("wien-a.1", BOOKING);
     final CompletableFuture<HttpResponse<String>> question = ask("wien-a.1", KEY);
-    Await.until(REACTION, "both dispatched", () -> calls() == 1 && dispatches() == 1);
+    Await.until(
+        REACTION,
+        () ->
+            "both dispatched; calls %d, %s; dispatches %d, %s%n%s"
+                .formatted(
+                    calls(),
+                    Http.progress(booking),
+                    dispatches(),
+                    Http.progress(question),
+                    cluster.logs()),
+        () -> calls() == 1 && dispatches() == 1);
     pair.begin(cluster);
     repeat();
     for (String instance : List.of("wien-a.3", "linz.1")) {
--- /dev/null
+++ b/systemtests/src/test/java/org/snipewick/systemtests/FirstCallsTest.java
@@ -0,0 +1,74 @@
+package org.snipewick.systemtests;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.snipewick.bench.cluster.Await;
+import org.snipewick.bench.cluster.Cluster;
+
+/** The first calls after a start, sent as soon as the instances say that they are healthy. */
+class FirstCallsTest {
+  private static final List<String> INSTANCES =
+      List.of("wien-a.1", "wien-a.2", "wien-a.3", "linz.1");
+  private static final Duration REACTION = Duration.ofSeconds(30);
+  private Cluster cluster;
+
+  @BeforeEach
+  void start() {
+    cluster =
+        Cluster.start()
+            .engine("engine-1", "wien-a")
+            .engine("engine-2", "wien-a")
+            .service("orders-1", "wien-a");
+  }
+
+  @AfterEach
+  void stop() {
+    cluster.close();
+  }
+
+  @Test
+  void shouldServeFirstCallsWhenInstancesAreHealthy() {
+    cluster.entries(INSTANCES.toArray(String[]::new)).catalogue("wien-a.1");
+    assertFirstCallsServed();
+  }
+
+  @Test
+  void shouldServeFirstCallsWhenPlatformHangsDuringStart() {
+    cluster.register(INSTANCES.toArray(String[]::new));
+    cluster.process("platform").pause();
+    INSTANCES.forEach(cluster::launch);
+    for (String instance : INSTANCES) {
+      Await.until(
+          REACTION,
+          instance + " has lost the platform",
+          () -> cluster.process(instance).log().contains("platform unavailable"));
+    }
+    cluster.process("platform").resume();
+    INSTANCES.forEach(cluster::awaitServing);
+    cluster.catalogue("wien-a.1");
+    assertFirstCallsServed();
+  }
+
+  /** Keys are remembered in the failure domain that their first part names. */
+  private void assertFirstCallsServed() {
+    Map<String, CompletableFuture<HttpResponse<String>>> calls = new TreeMap<>();
+    for (String instance : INSTANCES) {
+      calls.put(instance + " books", cluster.book(instance, "booking-" + instance));
+      for (String home : List.of("wien-a", "linz")) {
+        Map<String, String> key = Map.of("Idempotency-Key", home + ".question-" + instance);
+        calls.put(instance + " asks in " + home, cluster.model(instance, "route", 2, false, key));
+      }
+    }
+    calls.forEach(
+        (name, call) -> assertThat(call.join().body()).as(name).doesNotContain("outcome"));
+  }
+}
--- a/systemtests/src/test/java/org/snipewick/systemtests/InstanceDeathTest.java
+++ b/systemtests/src/test/java/org/snipewick/systemtests/InstanceDeathTest.java
@@ -42,7 +42,12 @@
     final CompletableFuture<HttpResponse<String>> first = cluster.book("wien-a.1", "b-1");
     Await.until(
         REACTION,
-        () -> "dispatch; seen " + calls("orders-1") + "; answer " + answerOf(first),
+        () ->
+            "dispatch; seen "
+                + calls("orders-1")
+                + "; answer "
+                + Http.progress(first)
+                + cluster.logs(),
         () -> calls("orders-1") == 1);
     strike(fault, "wien-a.1");
     for (int repeat = 0; repeat < 4; repeat++) {
@@ -74,7 +79,12 @@
         cluster.model(victim, "long route", 60, true, key);
     Await.until(
         REACTION,
-        () -> "dispatch; seen " + dispatches("question-1") + "; answer " + answerOf(first),
+        () ->
+            "dispatch; seen "
+                + dispatches("question-1")
+                + "; answer "
+                + Http.progress(first)
+                + cluster.logs(),
         () -> dispatches("question-1") == 1);
     strike(fault, victim);
     for (int repeat = 0; repeat < 5; repeat++) {
@@ -135,14 +145,6 @@
     }
   }
 
-  /** Returns what a call has led to so far, for the message of a failure. */
-  private static String answerOf(CompletableFuture<HttpResponse<String>> call) {
-    return call.handle(
-            (answer, failure) ->
-                failure == null ? answer.statusCode() + " " + answer.body() : failure.toString())
-        .getNow("none yet");
-  }
-
   private int calls(String service) {
     return cluster.truth(service).path("calls").asInt();
   }
