--- a/bench/src/main/java/org/snipewick/bench/Main.java
+++ b/bench/src/main/java/org/snipewick/bench/Main.java
@@ -4,6 +4,7 @@
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
 import com.beust.jcommander.Parameters;
+import org.snipewick.bench.cluster.ClassArchives;
 import org.snipewick.bench.cost.CostBench;
 import org.snipewick.bench.policy.PolicyBench;
 
@@ -25,6 +26,7 @@
     commands.addCommand("policy", policy);
     CostCommand cost = new CostCommand();
     commands.addCommand("cost", cost);
+    commands.addCommand("archive", new ArchiveCommand());
     try {
       commands.parse(arguments);
     } catch (ParameterException failure) {
@@ -36,6 +38,10 @@
       commands.usage();
       return;
     }
+    if (commands.getParsedCommand().equals("archive")) {
+      ClassArchives.make();
+      return;
+    }
     if (commands.getParsedCommand().equals("cost")) {
       new CostBench(cost.seconds, cost.json, System.out).run(cost.series);
       return;
@@ -43,6 +49,9 @@
     new PolicyBench(policy.seed).run(policy.caseName, policy.policyName, policy.json, System.out);
   }
 
+  @Parameters(commandDescription = "Make the class-data archives of the binaries")
+  private static final class ArchiveCommand {}
+
   private static final class HelpOption {
     @Parameter(names = "--help", help = true, description = "Print this text")
     private boolean help;
