Tell from logs what became of a request and why

Cause: a complaint could not be traced afterwards. Lines about requests were hidden at the default level, went to standard error through an appender that waits for its reader, carried their fields as text inside the message, and no line said what a scheduler had known when it decided. Ruled out: Logback's AsyncAppender (drops without counting); key-value pairs of SLF4J (Flogger's back end does not pass them on; the diagnostic context does). Change: a JSON object a line on standard output through a bounded buffer that drops and counts; lines about requests within a budget, failures apart; event 214 with each decision's inputs, 209 and 208 with tier, time and outcome, 103 for what was dropped; metrics on an address of their own; snipewick explain. The test harness keeps its processes in a class of its own. Cost at the design load not measured.

--- a/bench/src/main/java/org/snipewick/bench/cluster/ChildProcess.java
+++ b/bench/src/main/java/org/snipewick/bench/cluster/ChildProcess.java
@@ -51,7 +51,7 @@
   /**
    * Starts one of this repository's binaries with output to files in a directory.
    *
-   * @param javaOptions options of the Java machine besides the usual ones
+   * @param javaOptions options of the JVM besides the usual ones
    */
   static ChildProcess start(
       Path directory, String name, String binary, List<String> arguments, String javaOptions) {
@@ -89,18 +89,24 @@
   }
 
   /**
-   * Returns what the process wrote to standard error.
+   * Returns what the process wrote to standard output and to standard error.
    *
    * @return text
    */
   public String log() {
     try {
-      return Files.readString(output.resolveSibling(output.getFileName() + ".log"));
+      Path errors = output.resolveSibling(output.getFileName() + ".log");
+      return Files.readString(output) + Files.readString(errors);
     } catch (IOException failure) {
       throw new UncheckedIOException(failure);
     }
   }
 
+  /** Returns the file that holds what the process wrote to standard output. */
+  Path output() {
+    return output;
+  }
+
   /** Ends the process without warning. */
   public void kill() {
     process.destroyForcibly();
--- a/bench/src/main/java/org/snipewick/bench/cluster/ClassArchives.java
+++ b/bench/src/main/java/org/snipewick/bench/cluster/ClassArchives.java
@@ -4,6 +4,7 @@
 import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -24,21 +25,19 @@
     Path entry = fresh("snipewick");
     Path engine = fresh("standins");
     try (Cluster cluster = Cluster.start()) {
-      cluster
-          .archiving(engine)
-          .engine("engine-1", "wien-a")
-          .archiving(null)
-          .service("orders-1", "wien-a")
-          .archiving(entry)
-          .entries(ENTRY)
-          .archiving(null)
-          .entries("wien-a.2")
-          .catalogue(ENTRY);
+      cluster.processes().writeArchive(engine);
+      cluster.engine("engine-1", "wien-a");
+      cluster.processes().writeNoArchive();
+      cluster.service("orders-1", "wien-a");
+      cluster.processes().writeArchive(entry);
+      cluster.entries(ENTRY);
+      cluster.processes().writeNoArchive();
+      cluster.entries("wien-a.2").catalogue(ENTRY);
       Map<String, String> key = Map.of("Idempotency-Key", "question-1");
       Http.requireSuccess(cluster.model(ENTRY, "route", 2, true, key).join(), "stream");
       Http.requireSuccess(cluster.model(ENTRY, "route", 2, false, Map.of()).join(), "question");
       Http.requireSuccess(cluster.book(ENTRY, "booking-1").join(), "booking");
-      for (String process : new String[] {ENTRY, "engine-1"}) {
+      for (String process : List.of(ENTRY, "engine-1")) {
         cluster.process(process).terminate();
         cluster.process(process).awaitExit();
       }
--- a/bench/src/main/java/org/snipewick/bench/cluster/Cluster.java
+++ b/bench/src/main/java/org/snipewick/bench/cluster/Cluster.java
@@ -10,7 +10,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.stream.Collectors;
 
 /** Entry instances and stand-ins in processes of their own, with a catalogue in force. */
 public final class Cluster implements AutoCloseable {
@@ -27,13 +26,12 @@
 
   private final Path directory = ChildProcess.newDirectory();
   private final Links links;
-  private final Map<String, ChildProcess> processes = new LinkedHashMap<>();
+  private final Processes processes = new Processes(directory);
   private final Map<String, EntrySettings.Ports> entries = new LinkedHashMap<>();
   private final Map<String, String> endpoints = new LinkedHashMap<>();
   private final InstanceRows listed = new InstanceRows();
   private String platform;
   private String platformSettings = "";
-  private String javaOptions = "";
 
   private Cluster(Links links) {
     this.links = links;
@@ -99,9 +97,7 @@
     List<String> command = new ArrayList<>(arguments);
     command.addAll(List.of("--port", "0"));
     command.addAll(List.of(options));
-    ChildProcess process = ChildProcess.start(directory, name, "standins", command, javaOptions);
-    processes.put(name, process);
-    return process.awaitReady();
+    return processes.standIn(name, command);
   }
 
   /**
@@ -115,12 +111,6 @@
     return this;
   }
 
-  /** Lets processes that are started from now on write a class-data archive when they end. */
-  Cluster archiving(Path archive) {
-    javaOptions = archive == null ? "" : " -XX:ArchiveClassesAtExit=" + archive;
-    return this;
-  }
-
   /**
    * Starts entry instances.
    *
@@ -241,9 +231,7 @@
    * @param name its name
    */
   public void launch(String name) {
-    String settings = settingsFile(name).toString();
-    List<String> command = List.of("entry", "--settings", settings);
-    processes.put(name, ChildProcess.start(directory, name, "snipewick", command, javaOptions));
+    processes.entry(name, settingsFile(name));
   }
 
   /**
@@ -256,7 +244,7 @@
         START_TIMEOUT,
         name + " serves",
         () -> {
-          Optional.ofNullable(processes.get(name)).ifPresent(ChildProcess::requireAlive);
+          Optional.ofNullable(processes.find(name)).ifPresent(ChildProcess::requireAlive);
           return Http.isUp("http://127.0.0.1:" + entries.get(name).callers() + "/health")
               && Http.isUp(operatorsUrl(name) + "/admin/health");
         });
@@ -324,6 +312,11 @@
     return name.equals("platform") ? platform : endpoints.get(name);
   }
 
+  /** Returns all processes, with their logs. */
+  public Processes processes() {
+    return processes;
+  }
+
   /**
    * Returns a process.
    *
@@ -331,18 +324,7 @@
    * @return process
    */
   public ChildProcess process(String name) {
-    return processes.get(name);
-  }
-
-  /**
-   * Returns what all processes wrote to standard error, for the message of a failed test.
-   *
-   * @return logs, each under the name of its process
-   */
-  public String logs() {
-    return processes.entrySet().stream()
-        .map(each -> "--- " + each.getKey() + "\n" + each.getValue().log())
-        .collect(Collectors.joining("\n"));
+    return processes.find(name);
   }
 
   /**
@@ -412,7 +394,7 @@
 
   @Override
   public void close() {
-    processes.values().forEach(ChildProcess::close);
+    processes.close();
     links.close();
   }
 }
--- /dev/null
+++ b/bench/src/main/java/org/snipewick/bench/cluster/Processes.java
@@ -0,0 +1,86 @@
+package org.snipewick.bench.cluster;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+
+/** Processes of a cluster by name, with their logs. */
+public final class Processes {
+  private static final String PRODUCT = "snipewick";
+
+  private final Path directory;
+  private final Map<String, ChildProcess> byName = new LinkedHashMap<>();
+  private final Map<String, ChildProcess> entries = new LinkedHashMap<>();
+  private String javaOptions = "";
+
+  Processes(Path directory) {
+    this.directory = directory;
+  }
+
+  /** Lets processes that are started from now on write a class-data archive when they end. */
+  void writeArchive(Path archive) {
+    javaOptions = " -XX:ArchiveClassesAtExit=" + archive;
+  }
+
+  /** Lets processes that are started from now on write no archive. */
+  void writeNoArchive() {
+    javaOptions = "";
+  }
+
+  /** Starts a stand-in and waits for its address. */
+  String standIn(String name, List<String> arguments) {
+    ChildProcess process = start(name, "standins", arguments);
+    byName.put(name, process);
+    return process.awaitReady();
+  }
+
+  /** Starts an entry instance, for the first time or again. */
+  void entry(String name, Path settings) {
+    ChildProcess process =
+        start(name, PRODUCT, List.of("entry", "--settings", settings.toString()));
+    byName.put(name, process);
+    entries.put(name, process);
+  }
+
+  private ChildProcess start(String name, String binary, List<String> arguments) {
+    return ChildProcess.start(directory, name, binary, arguments, javaOptions);
+  }
+
+  /** Finds the latest process of a name; null if none was started. */
+  ChildProcess find(String name) {
+    return byName.get(name);
+  }
+
+  /**
+   * Returns what all processes wrote, for the message of a failed test.
+   *
+   * @return logs, each under the name of its process
+   */
+  public String logs() {
+    return byName.entrySet().stream()
+        .map(each -> "--- " + each.getKey() + "\n" + each.getValue().log())
+        .collect(Collectors.joining("\n"));
+  }
+
+  /**
+   * Asks the binary what the logs of all entry instances say of a request.
+   *
+   * @param request identifier of the request, or idempotency key
+   * @return what it printed
+   */
+  public String explain(String request) {
+    List<String> command = new ArrayList<>(List.of("explain", "--request", request));
+    entries.values().forEach(entry -> command.addAll(List.of("--log", entry.output().toString())));
+    ChildProcess explain = start("explain", PRODUCT, command);
+    explain.awaitExit();
+    return explain.log();
+  }
+
+  /** Ends all processes without warning. */
+  void close() {
+    byName.values().forEach(ChildProcess::close);
+  }
+}
--- a/bench/src/main/java/org/snipewick/bench/cluster/package-info.java
+++ b/bench/src/main/java/org/snipewick/bench/cluster/package-info.java
@@ -1,2 +1,2 @@
-/** Entry instances and stand-ins as processes on one machine, for tests and measurements. */
+/** Entry instances and stand-ins as processes on one host, for tests and measurements. */
 package org.snipewick.bench.cluster;
--- a/bench/src/main/java/org/snipewick/bench/policy/UpperBound.java
+++ b/bench/src/main/java/org/snipewick/bench/policy/UpperBound.java
@@ -51,7 +51,7 @@
     return Math.min(byDeadline, mostInTime(chosen, request -> end - request.atMillis()));
   }
 
-  /** Moore and Hodgson's method: the most jobs in time on one machine that is free from 0 on. */
+  /** Moore and Hodgson's method: the most jobs in time on one processor that is free from 0 on. */
   private long mostInTime(
       List<Workload.Request> requests, ToDoubleFunction<Workload.Request> dueMillis) {
     PriorityQueue<Double> accepted = new PriorityQueue<>(Comparator.reverseOrder());
--- /dev/null
+++ b/snipewick/src/main/java/org/snipewick/cli/LogLine.java
@@ -0,0 +1,93 @@
+package org.snipewick.cli;
+
+import static java.util.Objects.requireNonNull;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.time.DateTimeException;
+import java.time.OffsetDateTime;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * One line of a process's structured log.
+ *
+ * @param time wall clock of the process
+ * @param process name of the instance
+ * @param event number of the event
+ * @param title what happened
+ * @param subject what it is about; empty if about the process
+ * @param fields further fields by name
+ */
+record LogLine(
+    OffsetDateTime time,
+    String process,
+    int event,
+    String title,
+    String subject,
+    Map<String, String> fields) {
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+  private static final int EVENTS_PER_GROUP = 100;
+  private static final int REQUEST_GROUP = 2;
+  private static final Set<String> COMMON_FIELDS =
+      Set.of(
+          "@timestamp",
+          "@version",
+          "message",
+          "logger_name",
+          "thread_name",
+          "level",
+          "level_value",
+          "event",
+          "process",
+          "subject");
+
+  LogLine {
+    requireNonNull(time, "time");
+    requireNonNull(process, "process");
+    requireNonNull(title, "title");
+    requireNonNull(subject, "subject");
+    fields = new TreeMap<>(fields);
+  }
+
+  /** Reads a line; empty if it is not one of an event, such as the line that tells readiness. */
+  static Optional<LogLine> parse(String text) {
+    try {
+      JsonNode line = MAPPER.readTree(text);
+      if (!line.path("event").isTextual()) {
+        return Optional.empty();
+      }
+      Map<String, String> fields = new TreeMap<>();
+      line.fields()
+          .forEachRemaining(
+              field -> {
+                if (!COMMON_FIELDS.contains(field.getKey())) {
+                  fields.put(field.getKey(), field.getValue().asText());
+                }
+              });
+      return Optional.of(
+          new LogLine(
+              OffsetDateTime.parse(line.path("@timestamp").asText()),
+              line.path("process").asText(),
+              Integer.parseInt(line.path("event").asText()),
+              line.path("message").asText(),
+              line.path("subject").asText(),
+              fields));
+    } catch (JsonProcessingException | DateTimeException | NumberFormatException notAnEvent) {
+      return Optional.empty();
+    }
+  }
+
+  /** Tells whether the line is about a request and not about what the process believes. */
+  boolean isAboutRequest() {
+    return event / EVENTS_PER_GROUP == REQUEST_GROUP;
+  }
+
+  /** Tells whether the line names a request or key. */
+  boolean names(String text) {
+    return subject.equals(text) || fields.containsValue(text);
+  }
+}
--- a/snipewick/src/main/java/org/snipewick/cli/Main.java
+++ b/snipewick/src/main/java/org/snipewick/cli/Main.java
@@ -28,6 +28,7 @@
     commands.put("endpoint-role", new EndpointCommands.Role());
     commands.put("status", new StatusCommand());
     commands.put("timeline", new TimelineCommand());
+    commands.put("explain", new ExplainCommand());
     commands.put("stop", new StopCommand());
     commands.put("version", new VersionCommand());
     JCommander.Builder builder = JCommander.newBuilder().programName("snipewick");
--- a/snipewick/src/main/java/org/snipewick/entry/Administration.java
+++ b/snipewick/src/main/java/org/snipewick/entry/Administration.java
@@ -6,7 +6,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
+import org.snipewick.admin.AdminAnswer;
 import org.snipewick.admin.AdminRoute;
 import org.snipewick.admin.AdminServer;
 import org.snipewick.admin.CatalogueRoutes;
@@ -22,6 +24,8 @@
 
 /** Builds the operators' address from the parts of the process. */
 final class Administration {
+  private static final String METRICS_PATH = "/metrics";
+
   private Administration() {}
 
   static AdminServer listen(
@@ -48,6 +52,21 @@
         foundation.timeline());
   }
 
+  /** Serves the metrics on an address of their own, if the settings name one. */
+  static Optional<AdminServer> listenForMetrics(Foundation foundation) {
+    PrometheusText text = PrometheusText.of(foundation.metrics());
+    AdminRoute route =
+        AdminRoute.forAll("GET", METRICS_PATH, request -> AdminAnswer.text(text.write()));
+    return foundation
+        .settings()
+        .metrics()
+        .map(address -> new InetSocketAddress(address.host(), address.port()))
+        .map(
+            address ->
+                AdminServer.listen(
+                    address, new Operators(List.of()), List.of(route), foundation.timeline()));
+  }
+
   private static Operators operators(Settings.Operators settings) {
     return new Operators(
         settings.accounts().stream()
--- a/snipewick/src/main/java/org/snipewick/entry/EntryProcess.java
+++ b/snipewick/src/main/java/org/snipewick/entry/EntryProcess.java
@@ -5,10 +5,12 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongSupplier;
 import java.util.function.UnaryOperator;
 import org.snipewick.admin.AdminServer;
 import org.snipewick.catalogue.CatalogueController;
@@ -43,6 +45,7 @@
   private final InFlight inFlight;
   private final CallerServer callers;
   private final AdminServer operators;
+  private final Optional<AdminServer> metrics;
   private final AtomicBoolean stopping = new AtomicBoolean();
   private final CompletableFuture<Void> stopped = new CompletableFuture<>();
 
@@ -57,6 +60,7 @@
     this.callers = CallerServer.listen(callerParts(scheduling));
     this.operators =
         Administration.listen(foundation, catalogue, scheduling, orders, inFlight, this::beginStop);
+    this.metrics = Administration.listenForMetrics(foundation);
   }
 
   /**
@@ -81,8 +85,9 @@
   public static EntryProcess start(Settings settings, UnaryOperator<PeerNetwork> networkFilter) {
     requireNonNull(settings, "settings");
     requireNonNull(networkFilter, "networkFilter");
-    settings.log().apply();
+    LongSupplier unreadLines = settings.log().apply();
     Foundation foundation = Foundation.start(settings, networkFilter);
+    DroppedLines.watch(foundation, unreadLines);
     CatalogueController catalogue = catalogue(foundation);
     KeyMemory keys = KeyMemory.start(foundation);
     Scheduling scheduling = Scheduling.start(foundation, catalogue);
@@ -198,6 +203,7 @@
     foundation.timeline().record(EventType.PROCESS_STOPPED, "");
     catalogue.close();
     operators.close();
+    metrics.ifPresent(AdminServer::close);
     foundation.transport().close();
     foundation.platform().close();
     stopped.complete(null);
--- a/snipewick/src/main/java/org/snipewick/event/EventType.java
+++ b/snipewick/src/main/java/org/snipewick/event/EventType.java
@@ -15,34 +15,38 @@
   PROCESS_STOPPING(101, Level.INFO, "planned stop began"),
   /** The process ends after a planned stop. */
   PROCESS_STOPPED(102, Level.INFO, "process stopped"),
+  /** Lines of the log were left out: the budget was spent, or the reader too slow. */
+  LOG_LINES_DROPPED(103, Level.WARNING, "log lines dropped"),
   /** A request was accepted from a caller. */
   REQUEST_RECEIVED(200, Level.FINE, "request received"),
   /** A key was claimed. */
   KEY_CLAIMED(201, Level.FINE, "idempotency key claimed"),
   /** A request with a known key was answered without dispatch. */
-  KEY_REPEATED(202, Level.FINE, "repeat answered from memory"),
+  KEY_REPEATED(202, Level.INFO, "repeat answered from memory"),
   /** A request was offered to the scheduler of its pool. */
   REQUEST_OFFERED(203, Level.FINE, "request offered to scheduler"),
   /** A request was granted an endpoint. */
-  REQUEST_GRANTED(204, Level.FINE, "request granted an endpoint"),
+  REQUEST_GRANTED(204, Level.INFO, "request granted an endpoint"),
   /** A request was dispatched to an endpoint. */
-  REQUEST_DISPATCHED(205, Level.FINE, "request dispatched"),
+  REQUEST_DISPATCHED(205, Level.INFO, "request dispatched"),
   /** The first output token arrived. */
   FIRST_TOKEN(206, Level.FINE, "first token"),
   /** An endpoint's answer is complete. */
   ANSWER_COMPLETE(207, Level.FINE, "answer complete"),
   /** A request was delivered to its caller. */
-  REQUEST_DELIVERED(208, Level.FINE, "answer delivered"),
+  REQUEST_DELIVERED(208, Level.INFO, "answer delivered"),
   /** A request ended with a failure. */
-  REQUEST_FAILED(209, Level.FINE, "request failed"),
+  REQUEST_FAILED(209, Level.INFO, "request failed"),
   /** A caller left before its answer was complete. */
-  CALLER_LEFT(210, Level.FINE, "caller left"),
+  CALLER_LEFT(210, Level.INFO, "caller left"),
   /** A broken stream was resumed. */
   STREAM_RESUMED(211, Level.INFO, "stream resumed"),
   /** A scheduler shed a request. */
   REQUEST_SHED(212, Level.FINE, "request shed"),
   /** A scheduler has a request running or waiting; used to check the order of tiers. */
   REQUEST_QUEUED(213, Level.FINE, "request queued"),
+  /** A scheduler granted, refused or cancelled a request, with what it knew. */
+  SCHEDULER_DECIDED(214, Level.INFO, "scheduler decided"),
   /** A catalogue change was accepted by the platform. */
   CATALOGUE_ACCEPTED(300, Level.INFO, "catalogue change accepted"),
   /** A catalogue version came into force on this instance. */
@@ -80,6 +84,9 @@
   /** A defect of the program was caught. */
   INTERNAL_ERROR(900, Level.SEVERE, "internal error");
 
+  private static final int NUMBERS_PER_GROUP = 100;
+  private static final int REQUEST_GROUP = 2;
+
   private final int number;
   private final Level level;
   private final String title;
@@ -108,6 +115,15 @@
     return level;
   }
 
+  /**
+   * Tells whether events of this kind come with each request.
+   *
+   * @return whether their number grows with the load
+   */
+  public boolean isAboutRequest() {
+    return number / NUMBERS_PER_GROUP == REQUEST_GROUP;
+  }
+
   /**
    * Returns the title.
    *
--- a/snipewick/src/main/java/org/snipewick/pool/DecisionEvents.java
+++ b/snipewick/src/main/java/org/snipewick/pool/DecisionEvents.java
@@ -4,6 +4,7 @@
 
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import org.snipewick.event.EventLog;
 import org.snipewick.event.EventType;
@@ -23,6 +24,7 @@
   static final String REASON = "reason";
   static final String WAITING = "waiting";
   static final String LEFT = "left";
+  static final String DECISION = "decision";
 
   private final EventLog log;
   private final FailureDomain domain;
@@ -55,7 +57,25 @@
         .forEach(each -> withdrawn(pool, each.getKey()));
   }
 
-  void decided(PoolName pool, Decision decision) {
+  void decided(PoolName pool, Decision decision, DecisionInputs inputs) {
+    Map<String, Object> details = inputs.toDetails();
+    details.put(POOL, pool.value());
+    details.put(DECISION, nameOf(decision));
+    if (decision instanceof Decision.Refuse refused) {
+      details.put(REASON, refused.reason().name());
+      details.put("retryAfterMillis", refused.retryAfterMillis());
+    } else if (decision instanceof Decision.Cancel cancelled) {
+      details.put(REASON, cancelled.reason().name());
+    }
+    log.record(EventType.SCHEDULER_DECIDED, decision.request().toString(), details);
+    settle(pool, decision);
+  }
+
+  private static String nameOf(Decision decision) {
+    return decision.getClass().getSimpleName().toLowerCase(Locale.ROOT);
+  }
+
+  private void settle(PoolName pool, Decision decision) {
     if (!(decision instanceof Decision.Refuse refuse) || refuse.reason() != FailureType.SHED) {
       withdrawn(pool, decision.request());
       return;
--- a/snipewick/src/main/java/org/snipewick/pool/PoolController.java
+++ b/snipewick/src/main/java/org/snipewick/pool/PoolController.java
@@ -43,6 +43,7 @@
   private final Function<PoolName, PoolScheduler> newScheduler;
   private final Map<PoolName, PoolScheduler> held = new HashMap<>();
   private final Map<PoolName, Map<EndpointId, EndpointStatus>> endpoints = new HashMap<>();
+  private final Map<EndpointId, Long> statusNanos = new HashMap<>();
   private final Map<InstanceId, Long> heardNanos = new HashMap<>();
   private final long originNanos;
   private long heldSinceEpochMillis = Long.MIN_VALUE;
@@ -101,6 +102,7 @@
           endpoints
               .computeIfAbsent(pool, ignored -> new LinkedHashMap<>())
               .put(status.id(), status);
+          statusNanos.put(status.id(), timer.nanoTime());
           PoolScheduler scheduler = held.get(pool);
           if (scheduler != null) {
             keepTicking();
@@ -119,6 +121,7 @@
     onTimer(
         () -> {
           endpoints.getOrDefault(pool, new HashMap<>()).remove(endpoint);
+          statusNanos.remove(endpoint);
           PoolScheduler scheduler = held.get(pool);
           if (scheduler != null) {
             keepTicking();
@@ -338,12 +341,23 @@
   }
 
   private void send(PoolName pool, List<Decision> decisions) {
+    if (decisions.isEmpty()) {
+      return;
+    }
+    long now = timer.nanoTime();
+    PoolSummary summary = held.get(pool).summary(now);
     for (Decision decision : decisions) {
-      events.decided(pool, decision);
       Optional<EndpointStatus> endpoint =
           decision instanceof Decision.Grant grant
               ? held.get(pool).status(grant.endpoint())
               : Optional.empty();
+      long unchangedMillis =
+          endpoint
+              .map(status -> now - statusNanos.getOrDefault(status.id(), now))
+              .map(Duration::ofNanos)
+              .map(Duration::toMillis)
+              .orElse(0L);
+      events.decided(pool, decision, new DecisionInputs(summary, endpoint, unchangedMillis));
       network.send(
           decision.request().instance(), new PoolMessages.Decided(pool, decision, endpoint));
     }
--- a/snipewick/src/main/java/org/snipewick/request/AdmitFilter.java
+++ b/snipewick/src/main/java/org/snipewick/request/AdmitFilter.java
@@ -125,7 +125,11 @@
     log.record(
         EventType.REQUEST_GRANTED,
         context.id().toString(),
-        Map.of("endpoint", permit.endpoint().id().toString()));
+        Map.of(
+            "endpoint",
+            permit.endpoint().id().toString(),
+            "millisLeft",
+            (context.deadlineNanos() - timer.nanoTime()) / NANOS_PER_MILLI));
     return next.proceed(context.withPermit(permit));
   }
 
--- a/snipewick/src/main/java/org/snipewick/request/DeliverFilter.java
+++ b/snipewick/src/main/java/org/snipewick/request/DeliverFilter.java
@@ -4,6 +4,7 @@
 
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import org.snipewick.event.EventLog;
 import org.snipewick.event.EventType;
@@ -13,6 +14,8 @@
 
 /** Records and counts how each call ends. */
 final class DeliverFilter implements Filter {
+  private static final long NANOS_PER_MILLI = 1_000_000L;
+
   private final RequestMetrics metrics;
   private final TimerService timer;
   private final EventLog log;
@@ -79,13 +82,23 @@
         .tier()
         .ifPresentOrElse(
             tier -> metrics.failed(tier, failure.type()), () -> metrics.refused(failure.type()));
-    log.record(
-        EventType.REQUEST_FAILED,
-        context.id().toString(),
-        Map.of(
-            "failure", failure.type().number(),
-            "outcome", failure.outcome().text(),
-            "detail", failure.detail()));
+    Map<String, Object> details = progress(context);
+    details.put("failure", failure.type().number());
+    details.put("failureName", failure.type().name());
+    details.put("outcome", failure.outcome().text());
+    details.put("dispatched", context.lifecycle().isDispatched());
+    details.put("detail", failure.detail());
+    failure.retryAfter().ifPresent(time -> details.put("retryAfterMillis", time.toMillis()));
+    log.record(EventType.REQUEST_FAILED, context.id().toString(), details);
+  }
+
+  /** Returns what a line about the end of a call says in any case. */
+  private Map<String, Object> progress(CallContext context) {
+    Map<String, Object> details = new TreeMap<>();
+    context.lifecycle().tier().ifPresent(tier -> details.put("tier", tier.number()));
+    details.put(
+        "millisSinceReceived", (timer.nanoTime() - context.receivedNanos()) / NANOS_PER_MILLI);
+    return details;
   }
 
   private void delivered(CallContext context, Answer answer) {
@@ -97,7 +110,9 @@
             .filter(ending -> ending.failure().isEmpty())
             .isPresent();
     if (complete) {
-      log.record(EventType.REQUEST_DELIVERED, context.id().toString());
+      Map<String, Object> details = progress(context);
+      details.put("inTime", !context.lifecycle().abandonment().isDone());
+      log.record(EventType.REQUEST_DELIVERED, context.id().toString(), details);
     }
   }
 }
--- a/snipewick/src/main/java/org/snipewick/settings/Settings.java
+++ b/snipewick/src/main/java/org/snipewick/settings/Settings.java
@@ -4,7 +4,9 @@
 
 import com.fasterxml.jackson.annotation.JsonProperty;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
+import java.util.function.LongSupplier;
 import org.snipewick.event.LogFormat;
 import org.snipewick.identity.FailureDomain;
 import org.snipewick.identity.InstanceId;
@@ -21,6 +23,7 @@
  * @param platform where the platform is
  * @param keys memory of idempotency keys
  * @param log form of the log
+ * @param metrics where metrics are served; empty for the operators' address only
  */
 public record Settings(
     InstanceId instance,
@@ -31,7 +34,8 @@
     Peers peers,
     Platform platform,
     Keys keys,
-    Log log) {
+    Log log,
+    Optional<Address> metrics) {
 
   /** Checks the parts and fills in what is optional. */
   public Settings {
@@ -47,6 +51,7 @@
     requireNonNull(platform, "platform");
     keys = keys == null ? new Keys(null) : keys;
     log = log == null ? new Log(null, null) : log;
+    metrics = metrics == null ? Optional.empty() : metrics;
   }
 
   /**
@@ -218,13 +223,17 @@
 
     /** Fills in what is optional. */
     public Log {
-      format = format == null ? Format.TEXT : format;
+      format = format == null ? Format.JSON : format;
       level = level == null ? Level.INFO : level;
     }
 
-    /** Applies these settings to the program's log. */
-    public void apply() {
-      LogFormat.valueOf(format.name()).apply(LogFormat.LogLevel.valueOf(level.name()));
+    /**
+     * Applies these settings to the program's log.
+     *
+     * @return gives the number of lines that were dropped since, as the reader was too slow
+     */
+    public LongSupplier apply() {
+      return LogFormat.valueOf(format.name()).apply(LogFormat.LogLevel.valueOf(level.name()));
     }
   }
 
--- a/snipewick/src/test/java/org/snipewick/endpoint/http/FakeEndpoint.java
+++ b/snipewick/src/test/java/org/snipewick/endpoint/http/FakeEndpoint.java
@@ -200,7 +200,7 @@
     return status(name, server.getAddress().getPort());
   }
 
-  /** Returns the status of an endpoint at a port of this machine. */
+  /** Returns the status of an endpoint at a port of this host. */
   public static EndpointStatus status(String name, int port) {
     return new EndpointStatus(
         EndpointId.of(name),
--- /dev/null
+++ b/systemtests/src/test/java/org/snipewick/systemtests/ExplainTest.java
@@ -0,0 +1,89 @@
+package org.snipewick.systemtests;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.snipewick.bench.cluster.Await;
+import org.snipewick.bench.cluster.Cluster;
+import org.snipewick.bench.cluster.Http;
+
+/** The way from the identifier of a failed request to its cause, by logs alone. */
+class ExplainTest {
+  private static final Duration REACTION = Duration.ofSeconds(20);
+  private Cluster cluster;
+
+  @BeforeEach
+  void start() {
+    cluster =
+        Cluster.start()
+            .engine("engine-1", "wien-a", "--decode-millis-per-token", "40")
+            .service("orders-1", "wien-a", "--work-millis", "1500")
+            .entries("wien-a.1", "wien-a.2")
+            .catalogue("wien-a.1");
+  }
+
+  @AfterEach
+  void stop() {
+    cluster.close();
+  }
+
+  @Test
+  void shouldNameSchedulerAndItsInputsWhenNoEndpointIsLeft() {
+    assertThat(cluster.model("wien-a.1", "route", 2, false, Map.of()).join().statusCode())
+        .isEqualTo(200);
+    cluster.process("engine-1").kill();
+    Await.until(
+        REACTION,
+        "engine-1 is taken for unreachable",
+        () -> cluster.processes().logs().contains("\"state\":\"UNREACHABLE\""));
+    HttpResponse<String> refused = cluster.model("wien-a.1", "route", 2, false, Map.of()).join();
+    assertThat(refused.statusCode()).as(refused.body()).isEqualTo(503);
+    assertExplained(
+        refused,
+        "decision=refuse",
+        "reason=NO_ENDPOINT",
+        "liveEndpoints=0",
+        "state=UNREACHABLE",
+        "outcome=not-run");
+  }
+
+  @Test
+  void shouldNameLostPlatformWhenBookingIsRefused() {
+    cluster.faults("platform", "{\"outage\":true}");
+    HttpResponse<String> refused = cluster.book("wien-a.1", "booking-1").join();
+    assertThat(refused.statusCode()).as(refused.body()).isEqualTo(503);
+    assertExplained(
+        refused, "platform unavailable", "failureName=PLATFORM_UNAVAILABLE", "dispatched=false");
+  }
+
+  @Test
+  void shouldNameEndpointWhenItDiesDuringTheAnswer() {
+    Map<String, String> key = Map.of("Idempotency-Key", "question-1");
+    final CompletableFuture<HttpResponse<String>> call =
+        cluster.model("wien-a.1", "long route", 400, false, key);
+    Await.until(
+        REACTION,
+        () -> "dispatch; " + Http.progress(call),
+        () -> cluster.truth("engine-1").path("byKey").path("question-1").asInt() == 1);
+    cluster.process("engine-1").kill();
+    HttpResponse<String> broken = call.join();
+    assertThat(broken.statusCode()).as(broken.body()).isEqualTo(502);
+    assertExplained(
+        broken, "decision=grant", "endpoint=engine-1", "dispatched=true", "outcome=unknown");
+  }
+
+  private void assertExplained(HttpResponse<String> answer, String... parts) {
+    String request = answer.headers().firstValue("Snipewick-Request").orElseThrow();
+    Await.until(
+        REACTION,
+        () -> "end of " + request + " in the logs:\n" + cluster.processes().explain(request),
+        () -> cluster.processes().explain(request).contains("Ended: request failed"));
+    assertThat(cluster.processes().explain(request)).contains(parts);
+  }
+}
--- a/systemtests/src/test/java/org/snipewick/systemtests/FaultPairsTest.java
+++ b/systemtests/src/test/java/org/snipewick/systemtests/FaultPairsTest.java
@@ -97,7 +97,7 @@
                     Http.progress(booking),
                     dispatches(),
                     Http.progress(question),
-                    cluster.logs()),
+                    cluster.processes().logs()),
         () -> calls() == 1 && dispatches() == 1);
     pair.begin(cluster);
     repeat();
--- a/systemtests/src/test/java/org/snipewick/systemtests/InstanceDeathTest.java
+++ b/systemtests/src/test/java/org/snipewick/systemtests/InstanceDeathTest.java
@@ -47,7 +47,7 @@
                 + calls("orders-1")
                 + "; answer "
                 + Http.progress(first)
-                + cluster.logs(),
+                + cluster.processes().logs(),
         () -> calls("orders-1") == 1);
     strike(fault, "wien-a.1");
     for (int repeat = 0; repeat < 4; repeat++) {
@@ -84,7 +84,7 @@
                 + dispatches("question-1")
                 + "; answer "
                 + Http.progress(first)
-                + cluster.logs(),
+                + cluster.processes().logs(),
         () -> dispatches("question-1") == 1);
     strike(fault, victim);
     for (int repeat = 0; repeat < 5; repeat++) {
