Serve metrics on the address that the settings name

Cause: the setting added with the log lines could not be read: the mapper of the settings knew no optional values, and no test had given one, so an entry process with it ended at its start. Found by the first process test that set it. Ruled out: making it mandatory, as instances may serve metrics at the operators' address alone. Change: the mapper reads optional values; every process of the harness has an address for metrics, and ExplainTest reads counters and quantiles from it. Conclusion: counters and latency quantiles by tier are served without a token.

--- a/bench/src/main/java/org/snipewick/bench/cluster/Cluster.java
+++ b/bench/src/main/java/org/snipewick/bench/cluster/Cluster.java
@@ -195,6 +195,12 @@
     return Http.await("POST", operatorsUrl(instance) + path, body, all);
   }
 
+  /** Returns the metrics of an instance, in the Prometheus text format. */
+  public String metrics(String instance) {
+    String url = "http://127.0.0.1:" + entries.get(instance).metrics() + "/metrics";
+    return Http.await("GET", url, "", Map.of()).body();
+  }
+
   /**
    * Reads from an operators' address.
    *
@@ -317,12 +323,7 @@
     return processes;
   }
 
-  /**
-   * Returns a process.
-   *
-   * @param name name of an instance or endpoint
-   * @return process
-   */
+  /** Returns the latest process of an instance or endpoint; null if none was started. */
   public ChildProcess process(String name) {
     return processes.find(name);
   }
--- a/bench/src/main/java/org/snipewick/bench/cluster/EntrySettings.java
+++ b/bench/src/main/java/org/snipewick/bench/cluster/EntrySettings.java
@@ -23,6 +23,7 @@
         host: 127.0.0.1
         port: %d
         accounts: [{name: operator, tokenSha256: %s}]
+      metrics: {host: 127.0.0.1, port: %d}
       peers:
         host: 127.0.0.1
         port: %d
@@ -38,15 +39,16 @@
    *
    * @param callers port for callers
    * @param operators port for operators
+   * @param metrics port for metrics
    * @param peers port to listen on for other instances
    * @param announced port by which other instances reach it
    */
-  record Ports(int callers, int operators, int peers, int announced) {
+  record Ports(int callers, int operators, int metrics, int peers, int announced) {
 
     static Ports free(Links links, String domain) {
       int peers = FreePorts.next();
       int announced = links.toInstance(domain, peers);
-      return new Ports(FreePorts.next(), FreePorts.next(), peers, announced);
+      return new Ports(FreePorts.next(), FreePorts.next(), FreePorts.next(), peers, announced);
     }
   }
 
@@ -73,6 +75,7 @@
         ports.callers(),
         ports.operators(),
         sha256(Cluster.OPERATOR_TOKEN),
+        ports.metrics(),
         ports.peers(),
         ports.announced(),
         seeds,
--- a/snipewick/src/main/java/org/snipewick/settings/SettingsReader.java
+++ b/snipewick/src/main/java/org/snipewick/settings/SettingsReader.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.dataformat.yaml.YAMLFactory;
+import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
 import com.fasterxml.jackson.module.paramnames.ParameterNamesModule;
 import com.networknt.schema.Error;
 import com.networknt.schema.InputFormat;
@@ -29,7 +30,9 @@
   private static final String HOST_PATTERN = "/$defs/host/pattern";
 
   private final ObjectMapper mapper =
-      new ObjectMapper(new YAMLFactory()).registerModule(new ParameterNamesModule());
+      new ObjectMapper(new YAMLFactory())
+          .registerModule(new ParameterNamesModule())
+          .registerModule(new Jdk8Module());
   private final Schema schema;
 
   private SettingsReader(Schema schema) {
--- a/snipewick/src/test/java/org/snipewick/settings/SettingsReaderTest.java
+++ b/snipewick/src/test/java/org/snipewick/settings/SettingsReaderTest.java
@@ -32,6 +32,15 @@
     assertThat(settings.instance().value()).isEqualTo("wien-a.1");
   }
 
+  @Test
+  void shouldReadAddressOfMetricsWhenGiven() {
+    SettingsResult result =
+        reader.parse("a.yaml", VALID.concat("metrics: {host: 127.0.0.1, port: 8083}\n"));
+    assertThat(result).isInstanceOf(SettingsResult.Valid.class);
+    assertThat(((SettingsResult.Valid) result).settings().metrics())
+        .contains(new Settings.Address("127.0.0.1", 8083));
+  }
+
   @ParameterizedTest
   @CsvSource(
       delimiter = '|',
--- a/systemtests/src/test/java/org/snipewick/systemtests/ExplainTest.java
+++ b/systemtests/src/test/java/org/snipewick/systemtests/ExplainTest.java
@@ -51,6 +51,10 @@
         "liveEndpoints=0",
         "state=UNREACHABLE",
         "outcome=not-run");
+    assertThat(cluster.metrics("wien-a.1"))
+        .contains("requests_tier2_failed_no_endpoint 1.0")
+        .contains("requests_tier2_latency{quantile=\"0.99\",}")
+        .contains("log_lines_unread 0.0");
   }
 
   @Test
