--- a/snipewick/src/main/java/org/snipewick/cli/LogLine.java
+++ b/snipewick/src/main/java/org/snipewick/cli/LogLine.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import org.snipewick.event.EventType;
 
 /**
  * One line of a process's structured log.
@@ -30,8 +31,6 @@
     String subject,
     Map<String, String> fields) {
   private static final ObjectMapper MAPPER = new ObjectMapper();
-  private static final int EVENTS_PER_GROUP = 100;
-  private static final int REQUEST_GROUP = 2;
   private static final Set<String> COMMON_FIELDS =
       Set.of(
           "@timestamp",
@@ -83,7 +82,7 @@
 
   /** Tells whether the line is about a request and not about what the process believes. */
   boolean isAboutRequest() {
-    return event / EVENTS_PER_GROUP == REQUEST_GROUP;
+    return EventType.isAboutRequest(event);
   }
 
   /** Tells whether the line names a request or key. */
--- a/snipewick/src/main/java/org/snipewick/discovery/EndpointDirectory.java
+++ b/snipewick/src/main/java/org/snipewick/discovery/EndpointDirectory.java
@@ -121,6 +121,7 @@
     CompletableFuture<Void> unused =
         list.endpointsIn(membership.view().ownDomain())
             .thenAccept(instances -> timer.after(Duration.ZERO, () -> publish(instances)))
+            // The list logs its losses; the next exchange reads it again.
             .exceptionally(failure -> null);
   }
 
@@ -162,6 +163,7 @@
         network
             .call(member.id(), message, ANSWER_TIMEOUT)
             .thenAccept(answer -> timer.after(Duration.ZERO, () -> onAnswer.accept(answer)))
+            // The network logs a failed connection; the next exchange calls the member again.
             .exceptionally(failure -> null);
   }
 
--- a/snipewick/src/main/java/org/snipewick/entry/EntryProcess.java
+++ b/snipewick/src/main/java/org/snipewick/entry/EntryProcess.java
@@ -15,6 +15,7 @@
 import org.snipewick.admin.AdminServer;
 import org.snipewick.catalogue.CatalogueController;
 import org.snipewick.event.EventType;
+import org.snipewick.event.LogFormat;
 import org.snipewick.failure.Failure;
 import org.snipewick.failure.FailureType;
 import org.snipewick.identity.RequestId;
@@ -217,6 +218,7 @@
   private void stopAndWait() {
     beginStop();
     awaitStopped();
+    LogFormat.close();
   }
 
   private static void awaitQuietly(CompletableFuture<?> future, Duration limit) {
--- a/snipewick/src/main/java/org/snipewick/event/EventType.java
+++ b/snipewick/src/main/java/org/snipewick/event/EventType.java
@@ -79,6 +79,10 @@
   ORDER_SENT(505, Level.INFO, "order sent"),
   /** The writer of the own failure domain did not answer; writes go the direct way. */
   WRITER_SILENT(506, Level.WARNING, "domain writer silent"),
+  /** The list of instances can no longer be read; its readers go on with what they know. */
+  LIST_LOST(507, Level.WARNING, "instance list unreadable"),
+  /** The list of instances can be read again. */
+  LIST_REGAINED(508, Level.INFO, "instance list readable"),
   /** A peer connection failed or sent a malformed frame. */
   PEER_FAILED(600, Level.WARNING, "peer connection failed"),
   /** A defect of the program was caught. */
@@ -121,6 +125,16 @@
    * @return whether their number grows with the load
    */
   public boolean isAboutRequest() {
+    return isAboutRequest(number);
+  }
+
+  /**
+   * Tells whether events of a number come with each request.
+   *
+   * @param number number of an event, of this version of the program or another
+   * @return whether they are about requests
+   */
+  public static boolean isAboutRequest(int number) {
     return number / NUMBERS_PER_GROUP == REQUEST_GROUP;
   }
 
--- a/snipewick/src/main/java/org/snipewick/event/LogFormat.java
+++ b/snipewick/src/main/java/org/snipewick/event/LogFormat.java
@@ -9,6 +9,7 @@
 import ch.qos.logback.core.ConsoleAppender;
 import ch.qos.logback.core.encoder.Encoder;
 import ch.qos.logback.core.encoder.EncoderBase;
+import ch.qos.logback.core.util.Duration;
 import java.util.concurrent.atomic.LongAdder;
 import java.util.function.LongSupplier;
 import net.logstash.logback.appender.LoggingEventAsyncDisruptorAppender;
@@ -41,6 +42,9 @@
   /** Ten seconds of the most that {@link Timeline} writes about requests; a power of two. */
   private static final int BUFFER_LINES = 4096;
 
+  /** Ample for a full buffer to be written, and short against the time of a planned stop. */
+  private static final Duration CLOSE_TIMEOUT = Duration.buildBySeconds(1);
+
   private static final String OWN_LOGGER = "org.snipewick";
 
   abstract EncoderBase<ILoggingEvent> encoder();
@@ -65,6 +69,11 @@
     return dropped::sum;
   }
 
+  /** Writes the lines that are still buffered and ends the log, for the end of the process. */
+  public static void close() {
+    ((LoggerContext) LoggerFactory.getILoggerFactory()).stop();
+  }
+
   private static ConsoleAppender<ILoggingEvent> console(
       LoggerContext context, Encoder<ILoggingEvent> encoder) {
     ConsoleAppender<ILoggingEvent> appender = new ConsoleAppender<>();
@@ -80,6 +89,7 @@
     LoggingEventAsyncDisruptorAppender buffer = new LoggingEventAsyncDisruptorAppender();
     buffer.setContext(context);
     buffer.setRingBufferSize(BUFFER_LINES);
+    buffer.setShutdownGracePeriod(CLOSE_TIMEOUT);
     buffer.setAddDefaultStatusListener(false);
     buffer.addListener(new DropListener(dropped));
     buffer.addAppender(console);
--- a/snipewick/src/main/java/org/snipewick/membership/Discovery.java
+++ b/snipewick/src/main/java/org/snipewick/membership/Discovery.java
@@ -82,6 +82,7 @@
     return Duration.ofNanos((long) (mean.toNanos() * (0.5 + random.nextDouble())));
   }
 
+  /** Takes the list, null if it could not be read, which the list logs and a later read mends. */
   private void take(List<ListedInstance> instances) {
     if (instances == null) {
       return;
--- a/snipewick/src/main/java/org/snipewick/platform/http/HttpPlatform.java
+++ b/snipewick/src/main/java/org/snipewick/platform/http/HttpPlatform.java
@@ -11,6 +11,7 @@
 import org.snipewick.platform.ObjectStore;
 import org.snipewick.platform.PlatformHealth;
 import org.snipewick.platform.Table;
+import org.snipewick.platform.WatchedInstanceList;
 import org.snipewick.platform.WeightStore;
 import org.snipewick.time.TimerService;
 
@@ -23,7 +24,7 @@
   private final HttpTable table;
   private final HttpTable writerTable;
   private final HttpObjectStore objects;
-  private final HttpInstanceList instances;
+  private final InstanceList instances;
   private final HttpWeightStore weights;
 
   private HttpPlatform(
@@ -47,7 +48,7 @@
     table = tableWithRate.apply(() -> shares.get().direct());
     writerTable = tableWithRate.apply(() -> shares.get().writerOrDirect());
     objects = new HttpObjectStore(reads, transport, timer, circuit, retries);
-    instances = new HttpInstanceList(reads, parsing);
+    instances = WatchedInstanceList.of(new HttpInstanceList(reads, parsing), timer, events);
     weights = new HttpWeightStore(reads);
   }
 
--- a/systemtests/src/test/java/org/snipewick/systemtests/ExplainTest.java
+++ b/systemtests/src/test/java/org/snipewick/systemtests/ExplainTest.java
@@ -82,6 +82,14 @@
         broken, "decision=grant", "endpoint=engine-1", "dispatched=true", "outcome=unknown");
   }
 
+  @Test
+  void shouldTellStartAndStopWhenInstanceIsStoppedAsPlanned() {
+    cluster.process("wien-a.2").terminate();
+    cluster.process("wien-a.2").awaitExit();
+    assertThat(cluster.process("wien-a.2").log())
+        .contains("process started", "planned stop began", "process stopped");
+  }
+
   private void assertExplained(HttpResponse<String> answer, String... parts) {
     String request = answer.headers().firstValue("Snipewick-Request").orElseThrow();
     Await.until(
