Check the lease again before the last byte of an order

Cause: the lease was checked for the last time when the body of the order was asked for. In the first order of a process 9 to 10 ms pass between that and the write, since the classes that write are loaded there; a pause in that gap lets the write go out on waking. An endpoint that ignores fencing would have run the order.

Ruled out: a cached clock (each check reads System.nanoTime), a repeated call, an order kept by the endpoint (3 s of delay against 15 s until the next holder).

Change: the body goes out in two pieces, the lease is checked before each, and an order without its last byte is none. HttpEndpointOrdersTest has a lease that lapses between the two: order accepted before, LEASE_NOT_HELD and nothing received after.

A pause in what is left of it can't be found out by the sender; design 0011 says so.

--- a/snipewick/src/main/java/org/snipewick/lease/http/HttpEndpointOrders.java
+++ b/snipewick/src/main/java/org/snipewick/lease/http/HttpEndpointOrders.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.activej.bytebuf.ByteBuf;
 import io.activej.csp.ChannelSupplier;
+import io.activej.csp.ChannelSuppliers;
 import io.activej.eventloop.Eventloop;
 import io.activej.http.AsyncHttpClient;
 import io.activej.http.ContentType;
@@ -80,15 +81,28 @@
     return HttpRequest.post(url)
         .withHeader(HttpHeaders.CONTENT_TYPE, HttpHeaderValue.ofContentType(contentType()))
         .withHeader(HttpHeaders.CONTENT_LENGTH, HttpHeaderValue.ofDecimal(body.length))
-        .withBodyStream(ChannelSupplier.ofLazyProvider(() -> heldBody(body, lease)));
+        .withBodyStream(heldBody(body, lease));
   }
 
-  /** Returns the body, asked for when the connection is made; without it there is no order. */
+  /**
+   * Returns the body in two pieces and checks the lease before each. The endpoint runs nothing
+   * before it has the last byte. When that is written, the connection is open and the classes that
+   * write are loaded, so that little time passes between the last check and its write.
+   */
   private static ChannelSupplier<ByteBuf> heldBody(byte[] body, Lease lease) {
-    return lease
-        .check()
-        .map(lapsed -> ChannelSupplier.<ByteBuf>ofException(lapsed.toException()))
-        .orElseGet(() -> ChannelSupplier.of(ByteBuf.wrapForReading(body)));
+    int last = body.length - 1;
+    return ChannelSuppliers.concat(
+        heldPiece(ByteBuf.wrap(body, 0, last), lease),
+        heldPiece(ByteBuf.wrap(body, last, body.length), lease));
+  }
+
+  private static ChannelSupplier<ByteBuf> heldPiece(ByteBuf piece, Lease lease) {
+    return ChannelSupplier.ofLazyProvider(
+        () ->
+            lease
+                .check()
+                .map(lapsed -> ChannelSupplier.<ByteBuf>ofException(lapsed.toException()))
+                .orElseGet(() -> ChannelSupplier.of(piece)));
   }
 
   private static ContentType contentType() {
--- a/snipewick/src/test/java/org/snipewick/lease/http/HttpEndpointOrdersTest.java
+++ b/snipewick/src/test/java/org/snipewick/lease/http/HttpEndpointOrdersTest.java
@@ -12,6 +12,7 @@
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
@@ -29,6 +30,7 @@
 import org.snipewick.lease.EndpointOrder;
 import org.snipewick.lease.Lease;
 import org.snipewick.pool.EndpointStatus;
+import org.snipewick.time.TimerService;
 import org.snipewick.time.VirtualTimerService;
 
 class HttpEndpointOrdersTest {
@@ -107,6 +109,16 @@
     assertThat(received.get()).isEmpty();
   }
 
+  @Test
+  void shouldNotEndOrderWhenLeaseLapsesWhileItIsWritten() throws Exception {
+    answer(200);
+    Lease lapsing = new Lease("orders.pool", 7, LEASE.toNanos(), new ClockThatJumps(1, LEASE));
+    Failure failure = failureOf(send(server.getAddress().getPort(), lapsing));
+    assertThat(failure.type()).isEqualTo(FailureType.LEASE_NOT_HELD);
+    assertThat(failure.outcome()).isEqualTo(Outcome.NOT_RUN);
+    assertThat(received.get()).isEmpty();
+  }
+
   private void answer(int status) {
     server.createContext(
         "/orders",
@@ -120,6 +132,10 @@
   }
 
   private CompletableFuture<Void> send(int port) {
+    return send(port, lease);
+  }
+
+  private CompletableFuture<Void> send(int port, Lease held) {
     EndpointStatus endpoint =
         new EndpointStatus(
             EndpointId.of("e.1"),
@@ -133,10 +149,41 @@
             -1,
             -1,
             0);
-    return HttpEndpointOrders.of(eventloop).send(endpoint, ORDER, lease, Duration.ofMillis(500));
+    return HttpEndpointOrders.of(eventloop).send(endpoint, ORDER, held, Duration.ofMillis(500));
   }
 
   private static Failure failureOf(CompletableFuture<Void> order) throws Exception {
     return order.handle((done, thrown) -> FailureException.unwrap(thrown)).get(5, TimeUnit.SECONDS);
   }
+
+  /** Clock that stands at 0 until it has been read some times, and then after a pause. */
+  private static final class ClockThatJumps implements TimerService {
+    private final AtomicInteger readsBefore;
+    private final Duration pause;
+
+    ClockThatJumps(int readsBefore, Duration pause) {
+      this.readsBefore = new AtomicInteger(readsBefore);
+      this.pause = pause;
+    }
+
+    @Override
+    public long nanoTime() {
+      return readsBefore.getAndDecrement() > 0 ? 0 : pause.toNanos();
+    }
+
+    @Override
+    public long epochMillis() {
+      throw new UnsupportedOperationException("leases go by the monotonic clock");
+    }
+
+    @Override
+    public Subscription after(Duration delay, Runnable task) {
+      throw new UnsupportedOperationException("leases have no timers");
+    }
+
+    @Override
+    public Subscription every(Duration period, Runnable task) {
+      throw new UnsupportedOperationException("leases have no timers");
+    }
+  }
 }
