Tell what a scheduler knew before it decided

Event 214 took the state of the pool after all decisions of a step, so that a grant was counted as its own input, and gave the time since the endpoint's report had last changed in place of the report's age.

The state is now read before the scheduler is asked. The sink of endpoint changes had two copies (product and test), now there is one.

PoolControllerTest.shouldTellWhatItKnewBeforeWhenItDecides fails with the state read after the step (inFlight 2, expected 1) and passes now. Cost: a summary for each step instead of for each with decisions; not measured.

--- a/snipewick/src/main/java/org/snipewick/discovery/EndpointSink.java
+++ b/snipewick/src/main/java/org/snipewick/discovery/EndpointSink.java
@@ -1,12 +1,41 @@
 package org.snipewick.discovery;
 
+import static java.util.Objects.requireNonNull;
+
 import org.snipewick.identity.EndpointId;
 import org.snipewick.identity.PoolName;
 import org.snipewick.pool.EndpointStatus;
+import org.snipewick.pool.PoolController;
 
 /** Receives what is found out about the endpoints of the pools that this instance schedules. */
 public interface EndpointSink {
 
+  /**
+   * Returns a sink that tells the schedulers of this instance.
+   *
+   * @param controller schedulers
+   * @return sink
+   */
+  static EndpointSink to(PoolController controller) {
+    requireNonNull(controller, "controller");
+    return new EndpointSink() {
+      @Override
+      public void changed(PoolName pool, EndpointStatus status) {
+        controller.endpointStatus(pool, status);
+      }
+
+      @Override
+      public void reported(EndpointId endpoint) {
+        controller.endpointReported(endpoint);
+      }
+
+      @Override
+      public void removed(PoolName pool, EndpointId endpoint) {
+        controller.endpointRemoved(pool, endpoint);
+      }
+    };
+  }
+
   /**
    * An endpoint is new or has changed.
    *
@@ -15,6 +44,13 @@
    */
   void changed(PoolName pool, EndpointStatus status);
 
+  /**
+   * An endpoint's report has arrived, or is missed; called whether or not it changed anything.
+   *
+   * @param endpoint the endpoint
+   */
+  void reported(EndpointId endpoint);
+
   /**
    * An endpoint no longer exists.
    *
--- a/snipewick/src/main/java/org/snipewick/entry/Scheduling.java
+++ b/snipewick/src/main/java/org/snipewick/entry/Scheduling.java
@@ -8,9 +8,6 @@
 import org.snipewick.discovery.EndpointStatuses;
 import org.snipewick.endpoint.LoadReports;
 import org.snipewick.endpoint.http.HttpLoadReportClient;
-import org.snipewick.identity.EndpointId;
-import org.snipewick.identity.PoolName;
-import org.snipewick.pool.EndpointStatus;
 import org.snipewick.pool.PeerPoolClient;
 import org.snipewick.pool.PoolController;
 import org.snipewick.pool.PoolPolicy;
@@ -44,7 +41,11 @@
             foundation.timer());
     EndpointStatuses statuses =
         EndpointStatuses.start(
-            foundation.membership(), catalogue, directory, sinkOf(controller), foundation.timer());
+            foundation.membership(),
+            catalogue,
+            directory,
+            EndpointSink.to(controller),
+            foundation.timer());
     LoadReports.start(
         HttpLoadReportClient.of(eventloop("load-reports")),
         statuses,
@@ -63,18 +64,4 @@
     thread.start();
     return eventloop;
   }
-
-  private static EndpointSink sinkOf(PoolController controller) {
-    return new EndpointSink() {
-      @Override
-      public void changed(PoolName pool, EndpointStatus status) {
-        controller.endpointStatus(pool, status);
-      }
-
-      @Override
-      public void removed(PoolName pool, EndpointId endpoint) {
-        controller.endpointRemoved(pool, endpoint);
-      }
-    };
-  }
 }
--- a/snipewick/src/main/java/org/snipewick/event/LogFormat.java
+++ b/snipewick/src/main/java/org/snipewick/event/LogFormat.java
@@ -39,7 +39,7 @@
     }
   };
 
-  /** Ten seconds of the most that {@link Timeline} writes about requests; a power of two. */
+  /** Nine seconds of the most that {@link Timeline} writes about requests; a power of two. */
   private static final int BUFFER_LINES = 4096;
 
   /** Ample for a full buffer to be written, and short against the time of a planned stop. */
--- a/snipewick/src/main/java/org/snipewick/pool/DecisionInputs.java
+++ b/snipewick/src/main/java/org/snipewick/pool/DecisionInputs.java
@@ -2,6 +2,7 @@
 
 import static java.util.Objects.requireNonNull;
 
+import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
@@ -9,16 +10,17 @@
 /**
  * What a scheduler knew when it decided, for the log.
  *
- * @param summary state of the pool
+ * @param summary state of the pool before the decision, and before those of the same step
  * @param status status of the granted endpoint; empty if none was granted
- * @param statusUnchangedMillis time since that status changed last, in milliseconds
+ * @param reportAge time since that endpoint's last report arrived; empty if none has
  */
 record DecisionInputs(
-    PoolSummary summary, Optional<EndpointStatus> status, long statusUnchangedMillis) {
+    PoolSummary summary, Optional<EndpointStatus> status, Optional<Duration> reportAge) {
 
   DecisionInputs {
     requireNonNull(summary, "summary");
     requireNonNull(status, "status");
+    requireNonNull(reportAge, "reportAge");
   }
 
   /** Returns the inputs by name. */
@@ -33,8 +35,8 @@
           details.put("endpoint", endpoint.id().value());
           details.put("reportedRunning", endpoint.reportedRunning());
           details.put("reportedQueued", endpoint.reportedQueued());
-          details.put("statusUnchangedMillis", statusUnchangedMillis);
         });
+    reportAge.ifPresent(age -> details.put("reportAgeMillis", age.toMillis()));
     return details;
   }
 }
--- a/snipewick/src/main/java/org/snipewick/pool/PoolController.java
+++ b/snipewick/src/main/java/org/snipewick/pool/PoolController.java
@@ -43,7 +43,7 @@
   private final Function<PoolName, PoolScheduler> newScheduler;
   private final Map<PoolName, PoolScheduler> held = new HashMap<>();
   private final Map<PoolName, Map<EndpointId, EndpointStatus>> endpoints = new HashMap<>();
-  private final Map<EndpointId, Long> statusNanos = new HashMap<>();
+  private final Map<EndpointId, Long> reportNanos = new HashMap<>();
   private final Map<InstanceId, Long> heardNanos = new HashMap<>();
   private final long originNanos;
   private long heldSinceEpochMillis = Long.MIN_VALUE;
@@ -102,15 +102,22 @@
           endpoints
               .computeIfAbsent(pool, ignored -> new LinkedHashMap<>())
               .put(status.id(), status);
-          statusNanos.put(status.id(), timer.nanoTime());
-          PoolScheduler scheduler = held.get(pool);
-          if (scheduler != null) {
+          if (held.containsKey(pool)) {
             keepTicking();
-            send(pool, scheduler.endpoint(status, timer.nanoTime()));
+            decide(pool, scheduler -> scheduler.endpoint(status, timer.nanoTime()));
           }
         });
   }
 
+  /**
+   * Notes that an endpoint has just reported, so that the age of its report can be told.
+   *
+   * @param endpoint endpoint
+   */
+  public void endpointReported(EndpointId endpoint) {
+    onTimer(() -> reportNanos.put(endpoint, timer.nanoTime()));
+  }
+
   /**
    * Forgets an endpoint that is no longer listed.
    *
@@ -121,11 +128,10 @@
     onTimer(
         () -> {
           endpoints.getOrDefault(pool, new HashMap<>()).remove(endpoint);
-          statusNanos.remove(endpoint);
-          PoolScheduler scheduler = held.get(pool);
-          if (scheduler != null) {
+          reportNanos.remove(endpoint);
+          if (held.containsKey(pool)) {
             keepTicking();
-            send(pool, scheduler.endpointRemoved(endpoint, timer.nanoTime()));
+            decide(pool, scheduler -> scheduler.endpointRemoved(endpoint, timer.nanoTime()));
           }
         });
   }
@@ -197,7 +203,7 @@
     if (!scheduler.get().knows(offer.work().id())) {
       events.queued(offer.work());
     }
-    send(pool, scheduler.get().offer(offer.work(), timer.nanoTime()));
+    decide(pool, asked -> asked.offer(offer.work(), timer.nanoTime()));
   }
 
   private void reported(InstanceId from, PoolMessages.Report report) {
@@ -209,7 +215,7 @@
     if (report.event() instanceof WorkEvent.Withdrawn) {
       events.withdrawn(report.pool(), report.event().request());
     }
-    send(report.pool(), scheduler.get().event(report.event(), timer.nanoTime()));
+    decide(report.pool(), asked -> asked.event(report.event(), timer.nanoTime()));
   }
 
   private void heartbeat(InstanceId from, PoolMessages.Heartbeat heartbeat) {
@@ -219,6 +225,7 @@
       return;
     }
     PoolScheduler scheduler = found.get();
+    final PoolSummary before = scheduler.summary(timer.nanoTime());
     List<RequestId> missing = new ArrayList<>();
     List<Decision> decisions = new ArrayList<>();
     for (long sequence : heartbeat.waiting()) {
@@ -241,7 +248,7 @@
     if (!missing.isEmpty()) {
       network.send(from, new PoolMessages.Missing(heartbeat.pool(), missing));
     }
-    send(heartbeat.pool(), decisions);
+    send(heartbeat.pool(), before, decisions);
   }
 
   /** Finds the scheduler of a pool, creating it if this instance has just become its holder. */
@@ -286,7 +293,7 @@
 
   private void entryLost(PoolName pool, InstanceId entry) {
     events.entryLost(pool, entry);
-    send(pool, held.get(pool).entryLost(entry, timer.nanoTime()));
+    decide(pool, scheduler -> scheduler.entryLost(entry, timer.nanoTime()));
   }
 
   private void handOver(PoolName pool) {
@@ -334,32 +341,34 @@
           scheduler.entries().stream()
               .filter(entry -> now - heardNanos.getOrDefault(entry, now) > ENTRY_SILENCE_NANOS)
               .forEach(entry -> entryLost(pool, entry));
-          send(pool, scheduler.tick(now));
+          decide(pool, asked -> asked.tick(now));
           changed.put(pool, scheduler.summary(now));
         });
     summaries = Map.copyOf(changed);
   }
 
-  private void send(PoolName pool, List<Decision> decisions) {
-    if (decisions.isEmpty()) {
-      return;
-    }
-    long now = timer.nanoTime();
-    PoolSummary summary = held.get(pool).summary(now);
+  /** Asks the scheduler of a pool for decisions, and tells them with what it knew before them. */
+  private void decide(PoolName pool, Function<PoolScheduler, List<Decision>> step) {
+    PoolScheduler scheduler = held.get(pool);
+    PoolSummary before = scheduler.summary(timer.nanoTime());
+    send(pool, before, step.apply(scheduler));
+  }
+
+  private void send(PoolName pool, PoolSummary before, List<Decision> decisions) {
     for (Decision decision : decisions) {
       Optional<EndpointStatus> endpoint =
           decision instanceof Decision.Grant grant
               ? held.get(pool).status(grant.endpoint())
               : Optional.empty();
-      long unchangedMillis =
-          endpoint
-              .map(status -> now - statusNanos.getOrDefault(status.id(), now))
-              .map(Duration::ofNanos)
-              .map(Duration::toMillis)
-              .orElse(0L);
-      events.decided(pool, decision, new DecisionInputs(summary, endpoint, unchangedMillis));
+      Optional<Duration> reportAge = endpoint.map(EndpointStatus::id).flatMap(this::reportAge);
+      events.decided(pool, decision, new DecisionInputs(before, endpoint, reportAge));
       network.send(
           decision.request().instance(), new PoolMessages.Decided(pool, decision, endpoint));
     }
   }
+
+  private Optional<Duration> reportAge(EndpointId endpoint) {
+    return Optional.ofNullable(reportNanos.get(endpoint))
+        .map(reported -> Duration.ofNanos(timer.nanoTime() - reported));
+  }
 }
--- a/snipewick/src/test/java/org/snipewick/discovery/EndpointStatusesTest.java
+++ b/snipewick/src/test/java/org/snipewick/discovery/EndpointStatusesTest.java
@@ -38,6 +38,7 @@
           peers.join(InstanceId.of("a.1")),
           timer);
   private final List<EndpointStatus> changes = new ArrayList<>();
+  private final List<EndpointId> reports = new ArrayList<>();
   private final EndpointStatuses statuses =
       EndpointStatuses.start(membership, new NoEntries(), directory, new Recorder(), timer);
 
@@ -58,10 +59,11 @@
   }
 
   @Test
-  void shouldTellNothingWhenReportIsLikeTheLast() {
+  void shouldTellOnlyThatItCameWhenReportIsLikeTheLast() {
     report("engine-3", "live", 1);
     report("engine-3", "live", 1);
     assertThat(changes).hasSize(1);
+    assertThat(reports).hasSize(2);
 
     report("engine-3", "live", 2);
     assertThat(changes).hasSize(2);
@@ -128,6 +130,11 @@
       changes.add(status);
     }
 
+    @Override
+    public void reported(EndpointId endpoint) {
+      reports.add(endpoint);
+    }
+
     @Override
     public void removed(PoolName pool, EndpointId endpoint) {
       throw new AssertionError("nothing is removed here: " + endpoint);
--- a/snipewick/src/test/java/org/snipewick/entry/ControlCluster.java
+++ b/snipewick/src/test/java/org/snipewick/entry/ControlCluster.java
@@ -23,7 +23,6 @@
 import org.snipewick.event.EventLog;
 import org.snipewick.failure.Failure;
 import org.snipewick.failure.FailureException;
-import org.snipewick.identity.EndpointId;
 import org.snipewick.identity.FailureDomain;
 import org.snipewick.identity.InstanceId;
 import org.snipewick.identity.PoolName;
@@ -37,7 +36,6 @@
 import org.snipewick.peer.PeerCodec;
 import org.snipewick.platform.InstanceList;
 import org.snipewick.platform.ListedInstance;
-import org.snipewick.pool.EndpointStatus;
 import org.snipewick.pool.PeerPoolClient;
 import org.snipewick.pool.PoolClient;
 import org.snipewick.pool.PoolController;
@@ -191,7 +189,7 @@
         EndpointDirectory.start(node.membership(), listOf(domain), node.network(), node.timer());
     EndpointStatuses statuses =
         EndpointStatuses.start(
-            node.membership(), catalogue, directory, sinkOf(controller), node.timer());
+            node.membership(), catalogue, directory, EndpointSink.to(controller), node.timer());
     LoadReports unused =
         LoadReports.start(
             endpoint -> report(node.id()),
@@ -217,20 +215,6 @@
         new LoadReport("live", random.nextInt(SLOTS), 0, 9_000, 131_072, 65_536, SLOTS));
   }
 
-  private static EndpointSink sinkOf(PoolController controller) {
-    return new EndpointSink() {
-      @Override
-      public void changed(PoolName pool, EndpointStatus status) {
-        controller.endpointStatus(pool, status);
-      }
-
-      @Override
-      public void removed(PoolName pool, EndpointId endpoint) {
-        controller.endpointRemoved(pool, endpoint);
-      }
-    };
-  }
-
   /** Starts all instances, and the load once they know each other. */
   void start() {
     for (int domain = 0; domain < size.domains(); domain++) {
--- a/snipewick/src/test/java/org/snipewick/pool/PoolCluster.java
+++ b/snipewick/src/test/java/org/snipewick/pool/PoolCluster.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.snipewick.event.Event;
 import org.snipewick.event.EventLog;
+import org.snipewick.identity.EndpointId;
 import org.snipewick.identity.FailureDomain;
 import org.snipewick.identity.InstanceId;
 import org.snipewick.identity.PoolName;
@@ -59,6 +60,11 @@
         });
   }
 
+  /** Tells all controllers that an endpoint has reported, without a change. */
+  void reported(EndpointId endpoint) {
+    controllers.values().forEach(controller -> controller.endpointReported(endpoint));
+  }
+
   CompletableFuture<PoolClient.Permit> acquire(WorkRequest work) {
     return clients.get(work.id().instance().value()).acquire(work, cancel -> {});
   }
--- a/snipewick/src/test/java/org/snipewick/pool/PoolControllerTest.java
+++ b/snipewick/src/test/java/org/snipewick/pool/PoolControllerTest.java
@@ -16,6 +16,7 @@
 import org.snipewick.failure.FailureException;
 import org.snipewick.failure.FailureType;
 import org.snipewick.failure.Outcome;
+import org.snipewick.identity.EndpointId;
 import org.snipewick.identity.InstanceId;
 import org.snipewick.membership.Member;
 
@@ -71,6 +72,25 @@
     assertThat(order).containsExactly(2L, 3L, 4L);
   }
 
+  @Test
+  void shouldTellWhatItKnewBeforeWhenItDecides() {
+    cluster.endpoint("a", endpoint("x", 2));
+    granted(cluster.acquire(work(cluster.entry("a"), 1, 2)));
+    cluster.reported(EndpointId.of("x"));
+    cluster.run(40);
+    granted(cluster.acquire(work(cluster.entry("a"), 2, 2)));
+
+    assertThat(cluster.events)
+        .filteredOn(event -> event.type() == EventType.SCHEDULER_DECIDED)
+        .last()
+        .satisfies(
+            event ->
+                assertThat(event.details())
+                    .containsEntry("inFlight", 1)
+                    .hasEntrySatisfying(
+                        "reportAgeMillis", age -> assertThat((Long) age).isBetween(40L, 60L)));
+  }
+
   @Test
   void shouldOfferAgainWhenGrantIsLost() {
     cluster.endpoint("a", endpoint("x", 1));
