Say not-run only of keys that were looked up

The outcome speaks for all calls with the key, but the call had been refused before the key was looked up. The same holds for each refusal before that: token, class, path, sizes, the team's limit, a passed agreed time.

Ruled out: a fault of the ledger (wien-a.1 went on giving the stored answer).

Change: a call with a key that fails before its key is looked up is told unknown, with the attempt not-run and the time to come back that the refusal would have had. A call without a key, or with one that is malformed, is told not-run as before.

--- a/snipewick/src/main/java/org/snipewick/peer/tcp/FrameChannel.java
+++ b/snipewick/src/main/java/org/snipewick/peer/tcp/FrameChannel.java
@@ -52,6 +52,11 @@
             });
   }
 
+  /** Says why a connection ended, also where the exception has no message. */
+  static String causeOf(Exception failure) {
+    return failure.getMessage() == null ? failure.toString() : failure.getMessage();
+  }
+
   /** Queues a frame; false if the queue is full and the frame was not taken. */
   boolean offer(Outgoing frame) {
     if (queuedBytes + frame.bytes().length > limits.maxQueuedBytes()) {
--- a/snipewick/src/main/java/org/snipewick/peer/tcp/IncomingLink.java
+++ b/snipewick/src/main/java/org/snipewick/peer/tcp/IncomingLink.java
@@ -63,7 +63,7 @@
   }
 
   private static java.util.Map<String, Object> details(Exception failure) {
-    return java.util.Map.of("detail", String.valueOf(failure.getMessage()));
+    return java.util.Map.of("detail", FrameChannel.causeOf(failure));
   }
 
   private void receive(Frame frame) {
--- a/snipewick/src/main/java/org/snipewick/peer/tcp/PeerLink.java
+++ b/snipewick/src/main/java/org/snipewick/peer/tcp/PeerLink.java
@@ -112,7 +112,7 @@
               connecting = false;
               if (failure != null) {
                 backoff.failed(context.timer().nanoTime());
-                context.failed(hello.to(), "cannot connect: " + failure.getMessage());
+                context.failed(hello.to(), "cannot connect: " + FrameChannel.causeOf(failure));
                 giveUp(hello.to() + " cannot be reached");
               } else {
                 opened(socket);
@@ -135,7 +135,7 @@
     }
     opened.read(
         frame -> receive(opened, frame),
-        failure -> end(opened, failure == null ? "closed by peer" : failure.getMessage()));
+        failure -> end(opened, failure == null ? "closed by peer" : FrameChannel.causeOf(failure)));
   }
 
   private void offerTo(FrameChannel target, Outgoing frame) {
--- a/snipewick/src/main/java/org/snipewick/request/CallLifecycle.java
+++ b/snipewick/src/main/java/org/snipewick/request/CallLifecycle.java
@@ -20,6 +20,7 @@
   private final AtomicReference<Tier> tier = new AtomicReference<>();
   private final AtomicBoolean callerGone = new AtomicBoolean();
   private final AtomicBoolean outlivesCaller = new AtomicBoolean();
+  private final AtomicBoolean keyAsked = new AtomicBoolean();
   private final CompletableFuture<Failure> abandonment = new CompletableFuture<>();
 
   private CallLifecycle() {}
@@ -92,6 +93,20 @@
     return phase.get() == Phase.DISPATCHED;
   }
 
+  /** Notes that earlier calls with the idempotency key of this one are being looked up. */
+  public void askKey() {
+    keyAsked.set(true);
+  }
+
+  /**
+   * Tells whether earlier calls with the idempotency key of this one have been looked up.
+   *
+   * @return whether an outcome of this call speaks for them too
+   */
+  public boolean isKeyAsked() {
+    return keyAsked.get();
+  }
+
   /**
    * Tells when the call is given up on.
    *
--- a/snipewick/src/main/java/org/snipewick/request/ClaimFilter.java
+++ b/snipewick/src/main/java/org/snipewick/request/ClaimFilter.java
@@ -57,6 +57,7 @@
   private CompletableFuture<Answer> claimInTime(
       CallContext context, Chain next, KeyedRequest request) {
     CompletableFuture<Answer> result = new CompletableFuture<>();
+    context.lifecycle().askKey();
     CompletableFuture<KeyState> claim = ledger.claim(request);
     Futures.forward(claim.thenCompose(state -> decide(context, next, request, state)), result);
     Futures.whenResult(
--- a/snipewick/src/main/java/org/snipewick/request/DeliverFilter.java
+++ b/snipewick/src/main/java/org/snipewick/request/DeliverFilter.java
@@ -58,11 +58,11 @@
 
   private Failure failureOf(CallContext context, Failure failure) {
     if (failure.type() != FailureType.INTERNAL) {
-      return failure;
+      return KeyOutcome.correct(context, failure);
     }
     log.record(
         EventType.INTERNAL_ERROR, context.id().toString(), Map.of("detail", failure.detail()));
-    return context.lifecycle().settle(failure);
+    return KeyOutcome.correct(context, context.lifecycle().settle(failure));
   }
 
   private void ended(CallContext context, Ending ending) {
--- a/snipewick/src/test/java/org/snipewick/request/http/PlannedStopTest.java
+++ b/snipewick/src/test/java/org/snipewick/request/http/PlannedStopTest.java
@@ -113,6 +113,10 @@
     assertThat(refused.statusCode()).isEqualTo(503);
     assertThat(refused.body()).contains("problem:1106", "\"attempt\":\"not-run\"");
     assertThat(refused.headers().firstValue("Retry-After")).hasValue("1");
+    HttpResponse<String> keyed = front.post(CHAT, Front.chat(false), "Idempotency-Key", "k");
+    assertThat(keyed.body())
+        .contains("problem:1106", "\"outcome\":\"unknown\"", "\"attempt\":\"not-run\"");
+    assertThat(keyed.headers().firstValue("Retry-After")).hasValue("1");
     assertThat(stopped).isNotDone();
 
     released.countDown();
--- a/snipewick/src/test/java/org/snipewick/request/http/RepeatsTest.java
+++ b/snipewick/src/test/java/org/snipewick/request/http/RepeatsTest.java
@@ -103,6 +103,19 @@
     assertThat(endpoint.dispatches()).isZero();
   }
 
+  @Test
+  void shouldNotSayNotRunWhenRefusedBeforeItsKeyIsLookedUp() throws InterruptedException {
+    front.post(CHAT, Front.chat(false), KEY, "k");
+    assertThat(front.ledger.awaitNote()).isEqualTo("complete");
+
+    assertThat(front.post(CHAT, Front.chat(false), KEY, "k", "Snipewick-Class", "1").body())
+        .contains("problem:1004", "\"outcome\":\"unknown\"", "\"attempt\":\"not-run\"");
+    assertThat(front.post("/services/other/orders", "{}", KEY, "k").body())
+        .contains("problem:1005", "\"outcome\":\"unknown\"", "\"attempt\":\"not-run\"");
+    assertThat(front.post(CHAT, Front.chat(false), KEY, "no key").body())
+        .contains("problem:1001", "\"outcome\":\"not-run\"");
+  }
+
   @Test
   void shouldTellThatItRanWhenStreamIsTooLongToBeKept() throws InterruptedException {
     String longToken = FakeEndpoint.token(1, false).replace("t1", "x".repeat(300_000));
