Soak real processes under random faults

From what callers and endpoints saw it checks that nothing ran twice, that not-run and ran are true, that answers are whole and the caller's own, that undisturbed instances answer in the agreed time, that a planned stop cuts nothing, and that all instances serve again afterwards.

--- a/bench/src/main/java/org/snipewick/bench/Main.java
+++ b/bench/src/main/java/org/snipewick/bench/Main.java
@@ -4,13 +4,16 @@
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
 import com.beust.jcommander.Parameters;
+import java.time.Duration;
 import org.snipewick.bench.cluster.ClassArchives;
 import org.snipewick.bench.cost.CostBench;
 import org.snipewick.bench.policy.PolicyBench;
+import org.snipewick.bench.soak.Soak;
 
 /** Starts the program. */
 public final class Main {
   private static final int EXIT_USAGE = 2;
+  private static final int EXIT_BROKEN_PROMISE = 1;
 
   private Main() {}
 
@@ -26,6 +29,8 @@
     commands.addCommand("policy", policy);
     CostCommand cost = new CostCommand();
     commands.addCommand("cost", cost);
+    SoakCommand soak = new SoakCommand();
+    commands.addCommand("soak", soak);
     commands.addCommand("archive", new ArchiveCommand());
     try {
       commands.parse(arguments);
@@ -34,7 +39,7 @@
       System.exit(EXIT_USAGE);
       return;
     }
-    if (help.help || policy.help || cost.help || commands.getParsedCommand() == null) {
+    if (help.help || policy.help || cost.help || soak.help || commands.getParsedCommand() == null) {
       commands.usage();
       return;
     }
@@ -46,6 +51,11 @@
       new CostBench(cost.seconds, cost.json, System.out).run(cost.series);
       return;
     }
+    if (commands.getParsedCommand().equals("soak")) {
+      boolean kept = Soak.of(soak.seed, Duration.ofSeconds(soak.seconds)).run(System.out).isEmpty();
+      System.exit(kept ? 0 : EXIT_BROKEN_PROMISE);
+      return;
+    }
     new PolicyBench(policy.seed).run(policy.caseName, policy.policyName, policy.json, System.out);
   }
 
@@ -75,6 +85,18 @@
     private boolean help;
   }
 
+  @Parameters(commandDescription = "Run real processes under randomized faults, check promises")
+  private static final class SoakCommand {
+    @Parameter(names = "--seed", description = "Seed of faults and callers")
+    private long seed = 1;
+
+    @Parameter(names = "--seconds", description = "Time during which faults begin")
+    private int seconds = 60;
+
+    @Parameter(names = "--help", help = true, description = "Print this text")
+    private boolean help;
+  }
+
   @Parameters(commandDescription = "Measure what control and requests cost, with real processes")
   private static final class CostCommand {
     @Parameter(names = "--seconds", description = "Length of each measurement")
--- a/bench/src/main/java/org/snipewick/bench/cluster/Links.java
+++ b/bench/src/main/java/org/snipewick/bench/cluster/Links.java
@@ -76,6 +76,17 @@
     notifyAll();
   }
 
+  /**
+   * Ends the cut between two sides, if there is one.
+   *
+   * @param one failure domain
+   * @param other another failure domain, or {@link #PLATFORM}
+   */
+  public synchronized void heal(String one, String other) {
+    cuts.remove(Set.of(one, other));
+    notifyAll();
+  }
+
   private synchronized void put(String one, String other, Cut cut) {
     if (!relayed) {
       throw new IllegalStateException("direct links cannot be cut");
--- /dev/null
+++ b/bench/src/main/java/org/snipewick/bench/soak/FaultRunner.java
@@ -0,0 +1,94 @@
+package org.snipewick.bench.soak;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Queue;
+import java.util.Set;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.snipewick.bench.cluster.Cluster;
+import org.snipewick.bench.cluster.Links;
+
+/** Brings the faults of a plan about; one whose target is struck already is left out. */
+final class FaultRunner {
+  private static final int THREADS = 16;
+
+  /** More than an instance takes from its start until it serves, on a busy host. */
+  private static final int LONGEST_END_SECONDS = 90;
+
+  private final Cluster cluster;
+  private final Links links;
+  private final ScheduledExecutorService executor = Executors.newScheduledThreadPool(THREADS);
+  private final Set<String> struck = new HashSet<>();
+  private final Queue<Strike> strikes = new ConcurrentLinkedQueue<>();
+  private final Queue<String> failures = new ConcurrentLinkedQueue<>();
+
+  private FaultRunner(Cluster cluster, Links links) {
+    this.cluster = cluster;
+    this.links = links;
+  }
+
+  static FaultRunner start(Cluster cluster, Links links, FaultPlan plan) {
+    FaultRunner runner = new FaultRunner(cluster, links);
+    plan.faults()
+        .forEach(
+            planned ->
+                runner.executor.schedule(
+                    () -> runner.strike(planned), planned.at().toMillis(), TimeUnit.MILLISECONDS));
+    return runner;
+  }
+
+  /** Waits until all faults have ended and returns them. */
+  List<Strike> finish() throws InterruptedException {
+    executor.shutdown();
+    if (!executor.awaitTermination(LONGEST_END_SECONDS, TimeUnit.SECONDS)) {
+      failures.add("faults did not end within " + LONGEST_END_SECONDS + " s");
+    }
+    return List.copyOf(strikes);
+  }
+
+  /** Returns what went wrong with the faults themselves, such as an instance that stayed away. */
+  List<String> failures() {
+    return List.copyOf(failures);
+  }
+
+  private void strike(FaultPlan.Planned planned) {
+    Fault fault = planned.fault();
+    if (!claim(fault)) {
+      return;
+    }
+    long begin = System.nanoTime();
+    try {
+      fault.begin(cluster, links);
+      TimeUnit.NANOSECONDS.sleep(planned.lasts().toNanos());
+      fault.end(cluster, links);
+      for (String target : fault.targets()) {
+        if (SoakCluster.INSTANCES.contains(target)) {
+          cluster.awaitServing(target);
+        }
+      }
+      strikes.add(new Strike(fault, begin, System.nanoTime()));
+    } catch (RuntimeException | AssertionError failed) {
+      strikes.add(new Strike(fault, begin, Long.MAX_VALUE));
+      failures.add(fault + " did not end well: " + failed);
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+    } finally {
+      release(fault);
+    }
+  }
+
+  private synchronized boolean claim(Fault fault) {
+    boolean free = fault.targets().stream().noneMatch(struck::contains);
+    if (free) {
+      struck.addAll(fault.targets());
+    }
+    return free;
+  }
+
+  private synchronized void release(Fault fault) {
+    struck.removeAll(fault.targets());
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/snipewick/bench/soak/SoakCluster.java
@@ -0,0 +1,61 @@
+package org.snipewick.bench.soak;
+
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.snipewick.bench.cluster.Cluster;
+import org.snipewick.bench.cluster.Links;
+
+/** The cluster of a run: two failure domains, engines and services in both. */
+final class SoakCluster {
+  static final String PLATFORM = "platform";
+  static final List<String> INSTANCES =
+      List.of("wien-a.1", "wien-a.2", "wien-a.3", "linz.1", "linz.2");
+  static final List<String> ENGINES = List.of("engine-1", "engine-2", "engine-3");
+  static final List<String> SERVICES = List.of("orders-1", "orders-2");
+  static final List<String> ENDPOINTS =
+      List.of("engine-1", "engine-2", "engine-3", "orders-1", "orders-2");
+
+  private SoakCluster() {}
+
+  static Cluster start(Links links) {
+    return Cluster.start(links)
+        .engine("engine-1", "wien-a", "--decode-millis-per-token", "20")
+        .engine("engine-2", "wien-a", "--decode-millis-per-token", "20")
+        .engine("engine-3", "linz", "--decode-millis-per-token", "20")
+        .service("orders-1", "wien-a", "--work-millis", "200")
+        .service("orders-2", "linz", "--work-millis", "200")
+        .entries(INSTANCES.toArray(String[]::new))
+        .catalogue("wien-a.1");
+  }
+
+  /** Returns how often each request ran, by its name, as the endpoints have counted. */
+  static Map<String, Integer> runs(Cluster cluster) {
+    Map<String, Integer> runs = new TreeMap<>();
+    for (String engine : ENGINES) {
+      add(runs, cluster, engine, "byKey");
+    }
+    for (String service : SERVICES) {
+      add(runs, cluster, service, "effects");
+    }
+    return runs;
+  }
+
+  /** Returns how often each dispatch came, by its identifier, as the engines have counted. */
+  static Map<String, Integer> dispatches(Cluster cluster) {
+    Map<String, Integer> dispatches = new TreeMap<>();
+    for (String engine : ENGINES) {
+      add(dispatches, cluster, engine, "dispatches");
+    }
+    return dispatches;
+  }
+
+  private static void add(
+      Map<String, Integer> sums, Cluster cluster, String endpoint, String count) {
+    cluster
+        .truth(endpoint)
+        .path(count)
+        .properties()
+        .forEach(field -> sums.merge(field.getKey(), field.getValue().asInt(), Integer::sum));
+  }
+}
