Drop ages of reports with their endpoints; end the search as a whole

Found on reading the change again. A report that arrived after its endpoint had left the list put its age back, one entry for each replaced endpoint and process; ages are now noted for scheduled endpoints only. The soak waited 90 s for its faults from their start, too short above about 45 s; it now adds the length of the run.

--- a/bench/src/main/java/org/snipewick/bench/soak/Soak.java
+++ b/bench/src/main/java/org/snipewick/bench/soak/Soak.java
@@ -51,7 +51,7 @@
         Cluster cluster = SoakCluster.start(links)) {
       SoakCallers callers = SoakCallers.start(cluster, seed);
       FaultRunner faults = FaultRunner.start(cluster, links, plan);
-      final List<Strike> strikes = faults.finish();
+      final List<Strike> strikes = faults.finish(length);
       final Collection<Attempt> attempts = callers.stop();
       List<String> found = new ArrayList<>(faults.failures());
       found.addAll(notRecovered(cluster));
--- a/snipewick/src/main/java/org/snipewick/discovery/EndpointSink.java
+++ b/snipewick/src/main/java/org/snipewick/discovery/EndpointSink.java
@@ -45,7 +45,7 @@
   void changed(PoolName pool, EndpointStatus status);
 
   /**
-   * An endpoint's report has arrived, or is missed; called whether or not it changed anything.
+   * A scheduled endpoint has reported, or its reports are missed; called also without a change.
    *
    * @param endpoint the endpoint
    */
--- a/snipewick/src/main/java/org/snipewick/discovery/EndpointStatuses.java
+++ b/snipewick/src/main/java/org/snipewick/discovery/EndpointStatuses.java
@@ -80,7 +80,9 @@
         Duration.ZERO,
         () -> {
           EndpointStatus before = reported.put(status.id(), status);
-          sink.reported(status.id());
+          if (scheduled.containsKey(status.id())) {
+            sink.reported(status.id());
+          }
           if (!status.equals(before)) {
             publish(status.id());
           }
