--- a/bench/src/main/java/org/snipewick/bench/soak/Fault.java
+++ b/bench/src/main/java/org/snipewick/bench/soak/Fault.java
@@ -63,12 +63,7 @@
   record LinkCut(String one, String other, Cut cut) implements Fault {
     @Override
     public void begin(Cluster cluster, Links links) {
-      switch (cut) {
-        case SILENT -> links.cut(one, other);
-        case CLOSING -> links.sever(one, other);
-        case FORTH -> links.cutOneWay(one, other);
-        case BACK -> links.cutOneWay(other, one);
-      }
+      cut.make(links, one, other);
     }
 
     @Override
@@ -82,12 +77,38 @@
     }
   }
 
-  /** How a link is cut: bytes held back on both ways, connections closed, bytes held on one way. */
+  /** How a link between two sides is cut. */
   enum Cut {
-    SILENT,
-    CLOSING,
-    FORTH,
-    BACK
+    /** Bytes are held back on both ways. */
+    SILENT {
+      @Override
+      void make(Links links, String one, String other) {
+        links.cut(one, other);
+      }
+    },
+    /** Connections are closed. */
+    CLOSING {
+      @Override
+      void make(Links links, String one, String other) {
+        links.sever(one, other);
+      }
+    },
+    /** Bytes are held back on the way to the other side. */
+    FORTH {
+      @Override
+      void make(Links links, String one, String other) {
+        links.cutOneWay(one, other);
+      }
+    },
+    /** Bytes are held back on the way from the other side. */
+    BACK {
+      @Override
+      void make(Links links, String one, String other) {
+        links.cutOneWay(other, one);
+      }
+    };
+
+    abstract void make(Links links, String one, String other);
   }
 
   /** The platform or an endpoint misbehaves. */
--- a/bench/src/main/java/org/snipewick/bench/soak/FaultPlan.java
+++ b/bench/src/main/java/org/snipewick/bench/soak/FaultPlan.java
@@ -90,7 +90,7 @@
     }
 
     long millis(int least, int most) {
-      return least + random.nextInt(most - least);
+      return random.nextInt(least, most);
     }
   }
 }
--- a/bench/src/main/java/org/snipewick/bench/soak/FaultRunner.java
+++ b/bench/src/main/java/org/snipewick/bench/soak/FaultRunner.java
@@ -33,11 +33,11 @@
 
   static FaultRunner start(Cluster cluster, Links links, FaultPlan plan) {
     FaultRunner runner = new FaultRunner(cluster, links);
-    plan.faults()
-        .forEach(
-            planned ->
-                runner.executor.schedule(
-                    () -> runner.strike(planned), planned.at().toMillis(), TimeUnit.MILLISECONDS));
+    for (FaultPlan.Planned planned : plan.faults()) {
+      var unused =
+          runner.executor.schedule(
+              () -> runner.strike(planned), planned.at().toMillis(), TimeUnit.MILLISECONDS);
+    }
     return runner;
   }
 
--- a/bench/src/main/java/org/snipewick/bench/soak/SoakCallers.java
+++ b/bench/src/main/java/org/snipewick/bench/soak/SoakCallers.java
@@ -19,6 +19,7 @@
  * Callers that ask one thing after the other, each through any instance, and repeat what failed.
  */
 final class SoakCallers {
+  private static final List<Attempt.Kind> KINDS = List.of(Attempt.Kind.values());
   private static final int CALLERS = 10;
   private static final int MOST_ATTEMPTS = 5;
   private static final int MOST_TOKENS = 60;
@@ -74,7 +75,7 @@
     }
 
     private void ask() {
-      Attempt.Kind kind = Attempt.Kind.values()[random.nextInt(Attempt.Kind.values().length)];
+      Attempt.Kind kind = KINDS.get(random.nextInt(KINDS.size()));
       String home = random.nextBoolean() ? "" : random.nextBoolean() ? "linz." : "wien-a.";
       String name = home + "s" + seed + "-" + number + "-" + count++;
       Attempt.Request request =
