--- a/snipewick/src/main/java/org/snipewick/catalogue/CatalogueController.java
+++ b/snipewick/src/main/java/org/snipewick/catalogue/CatalogueController.java
@@ -23,8 +23,8 @@
 import org.snipewick.membership.MembershipView;
 import org.snipewick.membership.VersionGossip;
 import org.snipewick.peer.PeerNetwork;
-import org.snipewick.platform.ObjectStore;
-import org.snipewick.platform.Table;
+import org.snipewick.store.ObjectStore;
+import org.snipewick.store.Table;
 import org.snipewick.time.TimerService;
 
 /**
--- a/snipewick/src/main/java/org/snipewick/catalogue/CatalogueLoader.java
+++ b/snipewick/src/main/java/org/snipewick/catalogue/CatalogueLoader.java
@@ -12,7 +12,7 @@
 import org.snipewick.membership.MembershipView;
 import org.snipewick.peer.PeerMessage;
 import org.snipewick.peer.PeerNetwork;
-import org.snipewick.platform.ObjectStore;
+import org.snipewick.store.ObjectStore;
 import org.snipewick.time.TimerService;
 
 /**
--- a/snipewick/src/main/java/org/snipewick/catalogue/ChangeTable.java
+++ b/snipewick/src/main/java/org/snipewick/catalogue/ChangeTable.java
@@ -11,10 +11,10 @@
 import org.snipewick.event.EventType;
 import org.snipewick.failure.Failure;
 import org.snipewick.failure.FailureType;
-import org.snipewick.platform.Row;
-import org.snipewick.platform.Table;
-import org.snipewick.platform.Write;
-import org.snipewick.platform.WriteResult;
+import org.snipewick.store.Row;
+import org.snipewick.store.Table;
+import org.snipewick.store.Write;
+import org.snipewick.store.WriteResult;
 import org.snipewick.time.TimerService;
 
 /**
--- /dev/null
+++ b/snipewick/src/main/java/org/snipewick/cli/FrontCommand.java
@@ -0,0 +1,28 @@
+package org.snipewick.cli;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import java.nio.file.Path;
+import org.snipewick.platform.FrontProcess;
+
+/** Runs the process of an instance on the users' platform until it is stopped. */
+@Parameters(commandDescription = "run the process of an instance on the users' platform")
+final class FrontCommand implements Command {
+  private static final String FILE_VARIABLE = "SNIPEWICK_NODE_FILE";
+
+  @Parameter(
+      names = "--settings",
+      description = "settings file in the platform's format, else that of " + FILE_VARIABLE)
+  private Path file;
+
+  @Override
+  public ExitCode run(Console console) {
+    String named = System.getenv(FILE_VARIABLE);
+    if (file == null && named == null) {
+      console.err().println("neither --settings nor " + FILE_VARIABLE + " names a file");
+      return ExitCode.REFUSED;
+    }
+    FrontProcess.run(file == null ? Path.of(named) : file);
+    return ExitCode.SUCCESS;
+  }
+}
--- a/snipewick/src/main/java/org/snipewick/cli/Main.java
+++ b/snipewick/src/main/java/org/snipewick/cli/Main.java
@@ -19,6 +19,7 @@
 
   private Main() {
     commands.put("entry", new EntryCommand());
+    commands.put("front", new FrontCommand());
     commands.put("settings-check", new SettingsCheckCommand());
     commands.put("catalogue-get", new CatalogueCommands.Get());
     commands.put("catalogue-put", new CatalogueCommands.Put());
--- a/snipewick/src/main/java/org/snipewick/discovery/EndpointDirectory.java
+++ b/snipewick/src/main/java/org/snipewick/discovery/EndpointDirectory.java
@@ -20,8 +20,8 @@
 import org.snipewick.membership.Rendezvous;
 import org.snipewick.peer.PeerMessage;
 import org.snipewick.peer.PeerNetwork;
-import org.snipewick.platform.InstanceList;
-import org.snipewick.platform.ListedInstance;
+import org.snipewick.store.InstanceList;
+import org.snipewick.store.ListedInstance;
 import org.snipewick.time.TimerService;
 
 /**
--- a/snipewick/src/main/java/org/snipewick/discovery/EndpointStatuses.java
+++ b/snipewick/src/main/java/org/snipewick/discovery/EndpointStatuses.java
@@ -20,9 +20,9 @@
 import org.snipewick.identity.Tier;
 import org.snipewick.membership.Membership;
 import org.snipewick.membership.MembershipView;
-import org.snipewick.platform.ListedInstance;
 import org.snipewick.pool.EndpointStatus;
 import org.snipewick.pool.Schedulers;
+import org.snipewick.store.ListedInstance;
 import org.snipewick.time.TimerService;
 
 /**
--- a/snipewick/src/main/java/org/snipewick/discovery/PoolEndpoints.java
+++ b/snipewick/src/main/java/org/snipewick/discovery/PoolEndpoints.java
@@ -5,7 +5,7 @@
 import java.util.List;
 import org.snipewick.identity.PoolName;
 import org.snipewick.peer.PeerMessage;
-import org.snipewick.platform.ListedInstance;
+import org.snipewick.store.ListedInstance;
 
 /**
  * All endpoints of a pool in the sender's failure domain, as the platform lists them.
--- a/snipewick/src/main/java/org/snipewick/entry/Foundation.java
+++ b/snipewick/src/main/java/org/snipewick/entry/Foundation.java
@@ -24,12 +24,12 @@
 import org.snipewick.peer.PeerCodec;
 import org.snipewick.peer.PeerNetwork;
 import org.snipewick.peer.tcp.TcpPeerNetwork;
-import org.snipewick.platform.ListedInstance;
-import org.snipewick.platform.http.HttpPlatform;
-import org.snipewick.platform.http.PlatformSettings;
-import org.snipewick.platform.http.WriteShares;
 import org.snipewick.pool.PoolMessages;
 import org.snipewick.settings.Settings;
+import org.snipewick.store.ListedInstance;
+import org.snipewick.store.http.HttpPlatform;
+import org.snipewick.store.http.PlatformSettings;
+import org.snipewick.store.http.WriteShares;
 import org.snipewick.time.SystemTimerService;
 import org.snipewick.writer.WriterMessages;
 
--- a/snipewick/src/main/java/org/snipewick/entry/KeyMemory.java
+++ b/snipewick/src/main/java/org/snipewick/entry/KeyMemory.java
@@ -11,8 +11,8 @@
 import org.snipewick.idempotency.RequestLedger;
 import org.snipewick.idempotency.RoutingLedger;
 import org.snipewick.idempotency.TableRequestLedger;
-import org.snipewick.platform.Table;
-import org.snipewick.platform.http.HttpPlatform;
+import org.snipewick.store.Table;
+import org.snipewick.store.http.HttpPlatform;
 import org.snipewick.writer.DomainTable;
 import org.snipewick.writer.DomainWriter;
 
--- a/snipewick/src/main/java/org/snipewick/entry/OrderDuties.java
+++ b/snipewick/src/main/java/org/snipewick/entry/OrderDuties.java
@@ -22,8 +22,8 @@
 import org.snipewick.lease.LeaseSettings;
 import org.snipewick.lease.OrderController;
 import org.snipewick.lease.http.HttpEndpointOrders;
-import org.snipewick.platform.WeightStore;
 import org.snipewick.pool.EndpointStatus;
+import org.snipewick.store.WeightStore;
 import org.snipewick.time.TimerService;
 
 /**
--- a/snipewick/src/main/java/org/snipewick/event/EventType.java
+++ b/snipewick/src/main/java/org/snipewick/event/EventType.java
@@ -53,6 +53,10 @@
   CATALOGUE_IN_FORCE(301, Level.INFO, "catalogue version in force"),
   /** A catalogue change was refused because another came first. */
   CATALOGUE_CONFLICT(302, Level.INFO, "catalogue change conflicts"),
+  /** A version of the routing plan came into force on this instance. */
+  PLAN_IN_FORCE(303, Level.INFO, "routing plan in force"),
+  /** A routing plan, or a part of it, could not be read and was left out. */
+  PLAN_MALFORMED(304, Level.WARNING, "routing plan malformed"),
   /** A member of the group changed its state. */
   MEMBER_CHANGED(400, Level.INFO, "member changed"),
   /** This instance lost standing: it was paused or is cut off. */
@@ -83,6 +87,14 @@
   LIST_LOST(507, Level.WARNING, "instance list unreadable"),
   /** The list of instances can be read again. */
   LIST_REGAINED(508, Level.INFO, "instance list readable"),
+  /** A table of the store can no longer be read; what was known of it holds. */
+  TABLE_LOST(509, Level.WARNING, "table unreadable"),
+  /** A table of the store can be read again. */
+  TABLE_REGAINED(510, Level.INFO, "table readable"),
+  /** The store no longer knows what changed in a table; all of it is read again. */
+  TABLE_HISTORY_LOST(511, Level.INFO, "table history lost"),
+  /** A row of the store could not be understood and was left out. */
+  ROW_MALFORMED(512, Level.WARNING, "row malformed"),
   /** A peer connection failed or sent a malformed frame. */
   PEER_FAILED(600, Level.WARNING, "peer connection failed"),
   /** A defect of the program was caught. */
--- a/snipewick/src/main/java/org/snipewick/idempotency/IntentOutcomes.java
+++ b/snipewick/src/main/java/org/snipewick/idempotency/IntentOutcomes.java
@@ -11,9 +11,9 @@
 import org.snipewick.event.EventLog;
 import org.snipewick.event.EventType;
 import org.snipewick.identity.RequestId;
-import org.snipewick.platform.Row;
-import org.snipewick.platform.Write;
-import org.snipewick.platform.WriteResult;
+import org.snipewick.store.Row;
+import org.snipewick.store.Write;
+import org.snipewick.store.WriteResult;
 import org.snipewick.time.TimerService;
 
 /**
--- a/snipewick/src/main/java/org/snipewick/idempotency/IntentSweep.java
+++ b/snipewick/src/main/java/org/snipewick/idempotency/IntentSweep.java
@@ -11,9 +11,9 @@
 import org.snipewick.membership.Membership;
 import org.snipewick.membership.MembershipView;
 import org.snipewick.membership.Rendezvous;
-import org.snipewick.platform.Row;
-import org.snipewick.platform.Table;
-import org.snipewick.platform.Write;
+import org.snipewick.store.Row;
+import org.snipewick.store.Table;
+import org.snipewick.store.Write;
 import org.snipewick.time.TimerService;
 
 /**
--- a/snipewick/src/main/java/org/snipewick/idempotency/PresenceController.java
+++ b/snipewick/src/main/java/org/snipewick/idempotency/PresenceController.java
@@ -10,9 +10,9 @@
 import java.util.concurrent.CompletableFuture;
 import org.snipewick.identity.InstanceId;
 import org.snipewick.membership.MembershipView;
-import org.snipewick.platform.Table;
-import org.snipewick.platform.Write;
-import org.snipewick.platform.WriteResult;
+import org.snipewick.store.Table;
+import org.snipewick.store.Write;
+import org.snipewick.store.WriteResult;
 import org.snipewick.time.TimerService;
 
 /**
--- a/snipewick/src/main/java/org/snipewick/idempotency/TableRequestLedger.java
+++ b/snipewick/src/main/java/org/snipewick/idempotency/TableRequestLedger.java
@@ -13,10 +13,10 @@
 import org.snipewick.failure.FailureType;
 import org.snipewick.identity.InstanceId;
 import org.snipewick.membership.Membership;
-import org.snipewick.platform.Row;
-import org.snipewick.platform.Table;
-import org.snipewick.platform.Write;
-import org.snipewick.platform.WriteResult;
+import org.snipewick.store.Row;
+import org.snipewick.store.Table;
+import org.snipewick.store.Write;
+import org.snipewick.store.WriteResult;
 import org.snipewick.time.TimerService;
 
 /**
--- a/snipewick/src/main/java/org/snipewick/lease/LeaseController.java
+++ b/snipewick/src/main/java/org/snipewick/lease/LeaseController.java
@@ -9,7 +9,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 import org.snipewick.event.EventLog;
 import org.snipewick.identity.InstanceId;
-import org.snipewick.platform.Table;
+import org.snipewick.store.Table;
 import org.snipewick.time.TimerService;
 
 /**
--- a/snipewick/src/main/java/org/snipewick/membership/Discovery.java
+++ b/snipewick/src/main/java/org/snipewick/membership/Discovery.java
@@ -11,8 +11,8 @@
 import java.util.stream.Stream;
 import org.snipewick.identity.InstanceId;
 import org.snipewick.peer.PeerNetwork;
-import org.snipewick.platform.InstanceList;
-import org.snipewick.platform.ListedInstance;
+import org.snipewick.store.InstanceList;
+import org.snipewick.store.ListedInstance;
 import org.snipewick.time.TimerService;
 
 /**
--- a/snipewick/src/main/java/org/snipewick/membership/MembershipController.java
+++ b/snipewick/src/main/java/org/snipewick/membership/MembershipController.java
@@ -13,8 +13,8 @@
 import org.snipewick.failure.FailureType;
 import org.snipewick.identity.InstanceId;
 import org.snipewick.peer.PeerNetwork;
-import org.snipewick.platform.InstanceList;
-import org.snipewick.platform.ListedInstance;
+import org.snipewick.store.InstanceList;
+import org.snipewick.store.ListedInstance;
 import org.snipewick.time.TimerService;
 
 /**
--- /dev/null
+++ b/snipewick/src/main/java/org/snipewick/placement/PoolPlacement.java
@@ -0,0 +1,252 @@
+package org.snipewick.placement;
+
+import static java.util.Objects.requireNonNull;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.snipewick.identity.EndpointId;
+import org.snipewick.identity.FailureDomain;
+import org.snipewick.identity.Tier;
+import org.snipewick.roster.RosterEndpoint;
+
+/**
+ * Queue of one pool at one instance, in front of endpoints that know no tiers and admit in order of
+ * arrival: requests wait here, not there, and go out as places become free. Not safe for use by
+ * several threads.
+ */
+public final class PoolPlacement {
+  /** A quarter of what is left is kept for the work itself. */
+  private static final double USABLE_SHARE_OF_TIME_LEFT = 0.75;
+
+  private static final Duration MIN_RETRY_AFTER = Duration.ofMillis(200);
+  private static final Duration MAX_RETRY_AFTER = Duration.ofSeconds(5);
+
+  private final FailureDomain domain;
+  private final QueueOrder order;
+  private final Map<EndpointId, EndpointLoad> endpoints = new HashMap<>();
+  private final List<WaitingRequest> waiting = new ArrayList<>();
+  private final ResidenceTime residence = new ResidenceTime();
+
+  private PoolPlacement(FailureDomain domain, QueueOrder order) {
+    this.domain = requireNonNull(domain, "domain");
+    this.order = requireNonNull(order, "order");
+  }
+
+  /**
+   * Creates an empty queue without endpoints.
+   *
+   * @param domain failure domain of the instance, whose endpoints are preferred
+   * @param order order of the waiting requests
+   * @return queue
+   */
+  public static PoolPlacement of(FailureDomain domain, QueueOrder order) {
+    return new PoolPlacement(domain, order);
+  }
+
+  /**
+   * Takes the endpoints of the pool as they are listed now.
+   *
+   * @param listed endpoints, those that are leaving too
+   */
+  public void update(Collection<RosterEndpoint> listed) {
+    Set<EndpointId> missing = new HashSet<>(endpoints.keySet());
+    for (RosterEndpoint endpoint : listed) {
+      missing.remove(endpoint.id());
+      EndpointLoad known = endpoints.get(endpoint.id());
+      if (known == null) {
+        endpoints.put(endpoint.id(), new EndpointLoad(endpoint));
+      } else {
+        known.update(endpoint);
+      }
+    }
+    missing.forEach(endpoints::remove);
+  }
+
+  /**
+   * Adds a request, which then waits for {@link #decide}.
+   *
+   * @param request request
+   */
+  public void add(WaitingRequest request) {
+    waiting.add(requireNonNull(request, "request"));
+  }
+
+  /**
+   * Takes a request out whose caller left or whose time is over.
+   *
+   * @param id identifier of the request
+   * @return whether it was still waiting
+   */
+  public boolean remove(String id) {
+    return waiting.removeIf(request -> request.id().equals(id));
+  }
+
+  /**
+   * Decides about all waiting requests for which something can be decided now.
+   *
+   * @param nowNanos monotonic time
+   * @return decisions in their order; requests without one go on waiting
+   */
+  public List<PlacementDecision> decide(long nowNanos) {
+    if (waiting.isEmpty()) {
+      return List.of();
+    }
+    List<PlacementDecision> decisions = new ArrayList<>();
+    waiting.sort(order.at(nowNanos));
+    Iterator<WaitingRequest> each = waiting.iterator();
+    int ahead = 0;
+    while (each.hasNext()) {
+      WaitingRequest request = each.next();
+      Optional<PlacementDecision> decision = decide(request, ahead, nowNanos);
+      if (decision.isPresent()) {
+        each.remove();
+        decisions.add(decision.get());
+      } else {
+        ahead++;
+      }
+    }
+    return decisions;
+  }
+
+  private Optional<PlacementDecision> decide(WaitingRequest request, int ahead, long nowNanos) {
+    if (!hasCandidate(request)) {
+      return Optional.of(refused(request, PlacementDecision.Reason.NO_ENDPOINT, ahead));
+    }
+    if (ahead == 0) {
+      Optional<EndpointLoad> free = choose(request, nowNanos);
+      if (free.isPresent()) {
+        return Optional.of(placed(request, free.get(), nowNanos));
+      }
+    }
+    if (request.deadlineNanos() - nowNanos <= 0) {
+      return Optional.of(refused(request, PlacementDecision.Reason.WAITED_TOO_LONG, ahead));
+    }
+    if (expectedWaitNanos(ahead + 1) > usableNanos(request, nowNanos)) {
+      return Optional.of(refused(request, PlacementDecision.Reason.QUEUE_TOO_LONG, ahead));
+    }
+    return Optional.empty();
+  }
+
+  private boolean hasCandidate(WaitingRequest request) {
+    return endpoints.values().stream()
+        .anyMatch(load -> !load.endpoint().isLeaving() && mayTake(load, request));
+  }
+
+  private static boolean mayTake(EndpointLoad load, WaitingRequest request) {
+    return !request.tried().contains(load.endpoint().id());
+  }
+
+  /** Chooses the endpoint with the smallest share of its places taken, the own domain first. */
+  private Optional<EndpointLoad> choose(WaitingRequest request, long nowNanos) {
+    return endpoints.values().stream()
+        .filter(load -> load.takesRequests(nowNanos) && mayTake(load, request))
+        .filter(load -> load.free(nowNanos) > 0)
+        .min(
+            Comparator.comparing(this::isForeign)
+                .thenComparingDouble(load -> (double) load.present(nowNanos) / load.slots())
+                .thenComparing(load -> load.endpoint().id()));
+  }
+
+  private boolean isForeign(EndpointLoad load) {
+    return !load.endpoint().domain().equals(domain);
+  }
+
+  private PlacementDecision placed(WaitingRequest request, EndpointLoad load, long nowNanos) {
+    int present = load.present(nowNanos);
+    load.begin();
+    return new PlacementDecision.Placed(request, load.endpoint(), present, waiting.size() - 1);
+  }
+
+  private PlacementDecision refused(
+      WaitingRequest request, PlacementDecision.Reason reason, int ahead) {
+    return new PlacementDecision.Refused(request, reason, retryAfter(ahead));
+  }
+
+  private long usableNanos(WaitingRequest request, long nowNanos) {
+    return (long) ((request.deadlineNanos() - nowNanos) * USABLE_SHARE_OF_TIME_LEFT);
+  }
+
+  /** Expects that as many places become free as own requests end, each after the mean time. */
+  private double expectedWaitNanos(int places) {
+    int present = endpoints.values().stream().mapToInt(EndpointLoad::own).sum();
+    return residence.meanNanos().orElse(0) * places / Math.max(1, present);
+  }
+
+  /** Returns the time after which those who wait now have got their places. */
+  private Duration retryAfter(int ahead) {
+    Duration wait = Duration.ofNanos((long) expectedWaitNanos(ahead + 1));
+    if (wait.compareTo(MIN_RETRY_AFTER) < 0) {
+      return MIN_RETRY_AFTER;
+    }
+    return wait.compareTo(MAX_RETRY_AFTER) > 0 ? MAX_RETRY_AFTER : wait;
+  }
+
+  /**
+   * Takes the load that came with an answer.
+   *
+   * @param endpoint endpoint that answered
+   * @param load what it told
+   * @param nowNanos monotonic time
+   */
+  public void report(EndpointId endpoint, ReportedLoad load, long nowNanos) {
+    EndpointLoad known = endpoints.get(endpoint);
+    if (known != null) {
+      known.report(load, nowNanos);
+    }
+  }
+
+  /**
+   * Notes that a placed request no longer is at its endpoint.
+   *
+   * @param endpoint endpoint that it was placed at
+   * @param how how it ended
+   * @param placedNanos monotonic time at which it was placed
+   * @param nowNanos monotonic time
+   */
+  public void end(EndpointId endpoint, Ended how, long placedNanos, long nowNanos) {
+    if (how == Ended.ANSWERED) {
+      residence.count(nowNanos - placedNanos);
+    }
+    EndpointLoad known = endpoints.get(endpoint);
+    if (known != null) {
+      known.end(how, nowNanos);
+    }
+  }
+
+  /**
+   * Counts the requests that wait.
+   *
+   * @return waiting requests
+   */
+  public int waiting() {
+    return waiting.size();
+  }
+
+  /**
+   * Counts the requests that wait in a tier or above.
+   *
+   * @param tier lowest tier that counts
+   * @return waiting requests
+   */
+  public long waitingUpTo(Tier tier) {
+    return waiting.stream().filter(request -> !tier.isHigherThan(request.tier())).count();
+  }
+
+  /**
+   * Tells whether there are endpoints that take requests.
+   *
+   * @return whether an endpoint is listed that is not leaving
+   */
+  public boolean hasEndpoints() {
+    return endpoints.values().stream().anyMatch(load -> !load.endpoint().isLeaving());
+  }
+}
--- /dev/null
+++ b/snipewick/src/main/java/org/snipewick/placement/WaitingRequest.java
@@ -0,0 +1,33 @@
+package org.snipewick.placement;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.Set;
+import org.snipewick.identity.EndpointId;
+import org.snipewick.identity.Tier;
+
+/**
+ * A request that waits for a place at an endpoint.
+ *
+ * @param id identifier that the caller gave it
+ * @param tier class
+ * @param arrivedNanos monotonic time of its arrival
+ * @param targetNanos monotonic time until which its first answer is on time
+ * @param deadlineNanos monotonic time at which its caller stops waiting
+ * @param tried endpoints that it was sent to before
+ */
+public record WaitingRequest(
+    String id,
+    Tier tier,
+    long arrivedNanos,
+    long targetNanos,
+    long deadlineNanos,
+    Set<EndpointId> tried) {
+
+  /** Checks and copies the parts. */
+  public WaitingRequest {
+    requireNonNull(id, "id");
+    requireNonNull(tier, "tier");
+    tried = Set.copyOf(tried);
+  }
+}
--- /dev/null
+++ b/snipewick/src/main/java/org/snipewick/platform/ConfigurationListener.java
@@ -0,0 +1,57 @@
+package org.snipewick.platform;
+
+import static java.util.Objects.requireNonNull;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+import org.snipewick.event.EventLog;
+import org.snipewick.event.EventType;
+import org.snipewick.route.PlanController;
+import org.snipewick.store.MirrorListener;
+import org.snipewick.store.RowChanges;
+import org.snipewick.store.TableRow;
+import org.snipewick.time.Moment;
+
+/** Hands the operators' configuration on, and each proof that it is still the newest. */
+final class ConfigurationListener implements MirrorListener {
+  private static final String CONFIGURATION_KEY = "config";
+
+  private final PlanController plans;
+  private final EventLog events;
+
+  ConfigurationListener(PlanController plans, EventLog events) {
+    this.plans = requireNonNull(plans, "plans");
+    this.events = requireNonNull(events, "events");
+  }
+
+  @Override
+  public void onRows(List<TableRow> rows, Moment provenAt) {
+    rows.forEach(row -> accept(row, provenAt));
+  }
+
+  @Override
+  public void onChanges(RowChanges.Told changes, Moment provenAt) {
+    boolean isUnderstood = changes.written().stream().allMatch(row -> accept(row, provenAt));
+    if (isUnderstood) {
+      plans.confirm(provenAt);
+    }
+  }
+
+  /** Takes a row; tells whether it is another one or was understood. */
+  private boolean accept(TableRow row, Moment provenAt) {
+    if (!row.key().equals(CONFIGURATION_KEY) || !row.part().isEmpty()) {
+      return true;
+    }
+    try {
+      plans.accept(PlanCodec.decode(row.value()), provenAt);
+      return true;
+    } catch (IOException | IllegalArgumentException malformed) {
+      events.record(
+          EventType.PLAN_MALFORMED,
+          row.key(),
+          Map.of("rowVersion", row.version(), "detail", String.valueOf(malformed.getMessage())));
+      return false;
+    }
+  }
+}
--- /dev/null
+++ b/snipewick/src/main/java/org/snipewick/platform/EndpointCodec.java
@@ -0,0 +1,47 @@
+package org.snipewick.platform;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import org.snipewick.identity.EndpointId;
+import org.snipewick.identity.FailureDomain;
+import org.snipewick.identity.PoolName;
+import org.snipewick.roster.RosterEndpoint;
+import org.snipewick.store.TableRow;
+
+/** Decodes the entries by which replicas register themselves. */
+final class EndpointCodec {
+  private static final ObjectMapper JSON = new ObjectMapper();
+
+  private EndpointCodec() {}
+
+  /**
+   * Decodes an entry.
+   *
+   * @param row row whose key is the replica's id
+   * @return endpoint
+   * @throws IOException if the value is not JSON
+   * @throws IllegalArgumentException if a field is missing, of another type or of no known meaning
+   */
+  static RosterEndpoint decode(TableRow row) throws IOException {
+    Fields fields = Fields.of(JSON.readTree(row.value()));
+    InetSocketAddress address = fields.address("address");
+    return new RosterEndpoint(
+        EndpointId.of(row.key()),
+        fields.whole("born", 0),
+        PoolName.of(fields.text("service")),
+        FailureDomain.of(fields.text("zone")),
+        address.getHostString(),
+        address.getPort(),
+        (int) fields.whole("slots"),
+        isDraining(fields.text("state")));
+  }
+
+  private static boolean isDraining(String state) {
+    return switch (state) {
+      case "ready" -> false;
+      case "draining" -> true;
+      default -> throw new IllegalArgumentException("unknown state " + state);
+    };
+  }
+}
--- /dev/null
+++ b/snipewick/src/main/java/org/snipewick/platform/EndpointListener.java
@@ -0,0 +1,68 @@
+package org.snipewick.platform;
+
+import static java.util.Objects.requireNonNull;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.snipewick.event.EventLog;
+import org.snipewick.event.EventType;
+import org.snipewick.identity.EndpointId;
+import org.snipewick.roster.EndpointRoster;
+import org.snipewick.roster.RosterEndpoint;
+import org.snipewick.store.MirrorListener;
+import org.snipewick.store.RowChanges;
+import org.snipewick.store.TableRow;
+import org.snipewick.time.Moment;
+
+/** Hands the entries of replicas on; one that cannot be read names no endpoint. */
+final class EndpointListener implements MirrorListener {
+  private final EndpointRoster roster;
+  private final EventLog events;
+
+  EndpointListener(EndpointRoster roster, EventLog events) {
+    this.roster = requireNonNull(roster, "roster");
+    this.events = requireNonNull(events, "events");
+  }
+
+  @Override
+  public void onRows(List<TableRow> rows, Moment provenAt) {
+    roster.replaceAll(rows.stream().map(this::decode).flatMap(Optional::stream).toList());
+  }
+
+  @Override
+  public void onChanges(RowChanges.Told changes, Moment provenAt) {
+    List<RosterEndpoint> changed = new ArrayList<>();
+    List<EndpointId> removed = new ArrayList<>();
+    changes.removedKeys().forEach(key -> removed.add(EndpointId.of(key)));
+    for (TableRow row : changes.written()) {
+      Optional<RosterEndpoint> endpoint = decode(row);
+      endpoint.ifPresentOrElse(changed::add, () -> removed.add(EndpointId.of(row.key())));
+    }
+    roster.change(changed, removed);
+  }
+
+  @Override
+  public void onLost() {
+    roster.listLost();
+  }
+
+  @Override
+  public void onRegained() {
+    roster.listRegained();
+  }
+
+  private Optional<RosterEndpoint> decode(TableRow row) {
+    try {
+      return Optional.of(EndpointCodec.decode(row));
+    } catch (IOException | IllegalArgumentException malformed) {
+      events.record(
+          EventType.ROW_MALFORMED,
+          row.key(),
+          Map.of("rowVersion", row.version(), "detail", String.valueOf(malformed.getMessage())));
+      return Optional.empty();
+    }
+  }
+}
--- /dev/null
+++ b/snipewick/src/main/java/org/snipewick/platform/FrontProcess.java
@@ -0,0 +1,170 @@
+package org.snipewick.platform;
+
+import static java.util.Objects.requireNonNull;
+
+import com.codahale.metrics.MetricRegistry;
+import io.activej.eventloop.Eventloop;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.SplittableRandom;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.snipewick.event.EventType;
+import org.snipewick.event.LogFormat;
+import org.snipewick.event.Timeline;
+import org.snipewick.failure.Failure;
+import org.snipewick.failure.FailureType;
+import org.snipewick.metrics.PrometheusText;
+import org.snipewick.quota.QuotaLedger;
+import org.snipewick.relay.HealthServer;
+import org.snipewick.relay.RelayServer;
+import org.snipewick.relay.RelayServices;
+import org.snipewick.roster.EndpointRoster;
+import org.snipewick.route.PlanController;
+import org.snipewick.store.TableMirror;
+import org.snipewick.time.TimerService;
+import org.snipewick.transport.EventloopTimerService;
+import org.snipewick.transport.HttpTransport;
+
+/** Process of an instance on the users' platform; all of its work is done on one event loop. */
+public final class FrontProcess {
+  private static final int TIMELINE_EVENTS = 4_000;
+
+  /** Endpoints are a millisecond away; a lost packet is sent again after a second. */
+  private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
+
+  private static final int MAX_BODY_BYTES = 16 * 1024 * 1024;
+
+  /** How long the store waits for a change; together with the time-out far below revocation. */
+  private static final Duration WATCH_WAIT = Duration.ofSeconds(1);
+
+  /** Kept between the age of a proof and the bound of the revocation for the time of a step. */
+  private static final Duration REVOCATION_MARGIN = Duration.ofMillis(300);
+
+  private static final String CONFIGURATION_TABLE = "op";
+  private static final String ENDPOINT_TABLE = "servers";
+
+  /** The balancer sends no more after two misses, a second apart. */
+  private static final Duration BALANCER_DELAY = Duration.ofMillis(2500);
+
+  /** Kept at the end of the grace for closing and the end of the process. */
+  private static final Duration END_MARGIN = Duration.ofMillis(700);
+
+  private static final Duration STOP_POLL = Duration.ofMillis(50);
+
+  private final NodeSettings settings;
+  private final Eventloop eventloop;
+  private final TimerService timer;
+  private final Timeline events;
+  private final MetricRegistry metrics = new MetricRegistry();
+  private final PlanController plans;
+  private final RelayServer relay;
+  private final EndpointRoster roster;
+  private final CountDownLatch stopped = new CountDownLatch(1);
+  private boolean stopping;
+
+  private FrontProcess(NodeSettings settings) throws IOException {
+    this.settings = requireNonNull(settings, "settings");
+    LogFormat.JSON.apply(LogFormat.LogLevel.INFO);
+    eventloop = EventloopTimerService.monotonicEventloop().withCurrentThread();
+    eventloop.keepAlive(true);
+    timer = EventloopTimerService.of(eventloop);
+    events = Timeline.of(settings.instance().value(), timer, TIMELINE_EVENTS);
+    plans = PlanController.of(timer, events, settings.keyRevocation().minus(REVOCATION_MARGIN));
+    HttpTransport transport = HttpTransport.of(eventloop, CONNECT_TIMEOUT, MAX_BODY_BYTES);
+    relay = RelayServer.listen(eventloop, settings.callers(), services(transport));
+    roster = EndpointRoster.of(timer, events, relay::update);
+    PrometheusText text = PrometheusText.of(metrics);
+    HealthServer.listen(eventloop, settings.health(), this::isReady, text::write);
+    follow(StoreClient.of(transport, timer, settings.store()));
+  }
+
+  /**
+   * Runs a process until it is stopped; uses the calling thread as its event loop.
+   *
+   * @param file settings file
+   */
+  public static void run(Path file) {
+    NodeSettings settings = NodeSettings.read(file);
+    try {
+      FrontProcess process = new FrontProcess(settings);
+      Runtime.getRuntime().addShutdownHook(new Thread(process::stopAndWait, "planned-stop"));
+      process.events.record(EventType.PROCESS_STARTED, "");
+      process.eventloop.run();
+    } catch (IOException failure) {
+      throw Failure.notRun(FailureType.SETTINGS_INVALID, String.valueOf(failure.getMessage()))
+          .toException();
+    }
+  }
+
+  private RelayServices services(HttpTransport transport) {
+    return new RelayServices(
+        settings.domain(),
+        plans,
+        QuotaLedger.of(timer),
+        transport,
+        PlatformHeaders.NAMES,
+        new RelayServices.RepeatBound(
+            settings.repeatRatio(), settings.repeatSlack(), settings.repeatWindow()),
+        timer,
+        events,
+        metrics,
+        new SplittableRandom());
+  }
+
+  private void follow(StoreClient store) {
+    SplittableRandom random = new SplittableRandom();
+    TableMirror.start(
+        store,
+        CONFIGURATION_TABLE,
+        WATCH_WAIT,
+        timer,
+        events,
+        random,
+        new ConfigurationListener(plans, events));
+    TableMirror.start(
+        store,
+        ENDPOINT_TABLE,
+        WATCH_WAIT,
+        timer,
+        events,
+        random,
+        new EndpointListener(roster, events));
+  }
+
+  private boolean isReady() {
+    return !stopping && plans.isProven() && relay.hasEndpoints();
+  }
+
+  /** Runs in the hook that a signal to stop starts; the event loop goes on meanwhile. */
+  private void stopAndWait() {
+    eventloop.execute(this::beginStop);
+    try {
+      if (!stopped.await(settings.stopGrace().toMillis(), TimeUnit.MILLISECONDS)) {
+        events.record(EventType.INTERNAL_ERROR, "stop did not end within its grace");
+      }
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+    }
+    LogFormat.close();
+  }
+
+  private void beginStop() {
+    stopping = true;
+    events.record(EventType.PROCESS_STOPPING, "");
+    relay.beginStop();
+    long begunNanos = timer.nanoTime();
+    timer.every(STOP_POLL, () -> endWhenIdle(Duration.ofNanos(timer.nanoTime() - begunNanos)));
+  }
+
+  private void endWhenIdle(Duration sinceBegin) {
+    boolean balancerKnows = sinceBegin.compareTo(BALANCER_DELAY) >= 0;
+    boolean isLate = sinceBegin.compareTo(settings.stopGrace().minus(END_MARGIN)) >= 0;
+    if (stopped.getCount() > 0 && (isLate || (balancerKnows && relay.isIdle()))) {
+      relay.close();
+      events.record(EventType.PROCESS_STOPPED, "");
+      stopped.countDown();
+    }
+  }
+}
--- /dev/null
+++ b/snipewick/src/main/java/org/snipewick/platform/NodeSettings.java
@@ -0,0 +1,100 @@
+package org.snipewick.platform;
+
+import static java.util.Objects.requireNonNull;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.dataformat.yaml.YAMLFactory;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.time.Duration;
+import org.snipewick.failure.Failure;
+import org.snipewick.failure.FailureType;
+import org.snipewick.identity.FailureDomain;
+import org.snipewick.identity.InstanceId;
+
+/**
+ * Settings that the platform gives a process.
+ *
+ * @param instance name of the instance; the platform's "node"
+ * @param domain failure domain; the platform's "zone"
+ * @param callers address for callers; "listen.front"
+ * @param health address for the balancer's questions; "listen.ready"
+ * @param peers address for other instances, the first of the free ports; "port_range"
+ * @param store address of the store; "provider.address"
+ * @param keyRevocation time after which a key that was taken away must not run anywhere;
+ *     "bounds.revoke_ms"
+ * @param stopGrace time between the signal to stop and the end by force; "bounds.grace_s"
+ * @param repeatRatio repeats for each request to a pool; "bounds.retry_budget_ratio"
+ * @param repeatSlack repeats in a window beyond that; "bounds.budget_slack"
+ * @param repeatWindow span over which both are counted; "bounds.budget_window_s"
+ */
+public record NodeSettings(
+    InstanceId instance,
+    FailureDomain domain,
+    InetSocketAddress callers,
+    InetSocketAddress health,
+    InetSocketAddress peers,
+    InetSocketAddress store,
+    Duration keyRevocation,
+    Duration stopGrace,
+    double repeatRatio,
+    double repeatSlack,
+    Duration repeatWindow) {
+  private static final ObjectMapper YAML = new ObjectMapper(new YAMLFactory());
+  private static final double MILLIS_PER_SECOND = 1000;
+
+  /** Checks the parts. */
+  public NodeSettings {
+    requireNonNull(instance, "instance");
+    requireNonNull(domain, "domain");
+    requireNonNull(callers, "callers");
+    requireNonNull(health, "health");
+    requireNonNull(peers, "peers");
+    requireNonNull(store, "store");
+    requireNonNull(keyRevocation, "keyRevocation");
+    requireNonNull(stopGrace, "stopGrace");
+    requireNonNull(repeatWindow, "repeatWindow");
+  }
+
+  /**
+   * Reads a settings file.
+   *
+   * @param file file in the platform's format
+   * @return settings
+   * @throws org.snipewick.failure.FailureException with {@link FailureType#SETTINGS_INVALID} if the
+   *     file cannot be read or lacks a field
+   */
+  public static NodeSettings read(Path file) {
+    try {
+      return parse(YAML.readTree(file.toFile()));
+    } catch (IOException | IllegalArgumentException failure) {
+      throw Failure.notRun(
+              FailureType.SETTINGS_INVALID, file + ": " + String.valueOf(failure.getMessage()))
+          .toException();
+    }
+  }
+
+  private static NodeSettings parse(JsonNode root) {
+    Fields fields = Fields.of(root);
+    Fields bounds = fields.table("bounds");
+    Fields listen = fields.table("listen");
+    return new NodeSettings(
+        InstanceId.of(fields.text("node")),
+        FailureDomain.of(fields.text("zone")),
+        listen.address("front"),
+        listen.address("ready"),
+        new InetSocketAddress(fields.text("ip"), root.path("port_range").path(0).asInt()),
+        fields.table("provider").address("address"),
+        Duration.ofMillis(bounds.whole("revoke_ms")),
+        seconds(bounds.number("grace_s")),
+        bounds.number("retry_budget_ratio"),
+        bounds.number("budget_slack"),
+        seconds(bounds.number("budget_window_s")));
+  }
+
+  private static Duration seconds(double value) {
+    return Duration.ofMillis((long) (value * MILLIS_PER_SECOND));
+  }
+}
--- /dev/null
+++ b/snipewick/src/main/java/org/snipewick/quota/package-info.java
@@ -0,0 +1,2 @@
+/** Quotas of teams that hold over all instances. */
+package org.snipewick.quota;
--- /dev/null
+++ b/snipewick/src/main/java/org/snipewick/relay/EndpointRequests.java
@@ -0,0 +1,60 @@
+package org.snipewick.relay;
+
+import static java.util.Objects.requireNonNull;
+
+import io.activej.http.HttpHeaders;
+import io.activej.http.HttpRequest;
+import java.util.Optional;
+import org.snipewick.roster.RosterEndpoint;
+
+/** Builds what is sent to endpoints from what callers sent. */
+final class EndpointRequests {
+  private static final long NANOS_PER_MILLI = 1_000_000L;
+
+  private final HeaderNames names;
+
+  EndpointRequests(HeaderNames names) {
+    this.names = requireNonNull(names, "names");
+  }
+
+  /**
+   * Builds a request.
+   *
+   * @param call call
+   * @param endpoint endpoint that alone may run it
+   * @param nowNanos monotonic time of the sending
+   * @return request that announces the time that is left now
+   */
+  HttpRequest build(RelayCall call, RosterEndpoint endpoint, long nowNanos) {
+    RelayRequest received = call.request();
+    String url = "http://" + endpoint.host() + ":" + endpoint.port() + received.pathAndQuery();
+    HttpRequest request = HttpRequest.of(received.method(), url);
+    headers(call, endpoint, nowNanos)
+        .fields()
+        .forEach(field -> request.addHeader(HttpHeaders.of(field.getKey()), field.getValue()));
+    if (received.body().length > 0) {
+      request.setBody(received.body());
+    }
+    return request;
+  }
+
+  private Headers headers(RelayCall call, RosterEndpoint endpoint, long nowNanos) {
+    long leftMillis = Math.max(0, call.deadlineNanos() - nowNanos) / NANOS_PER_MILLI;
+    Headers headers =
+        call.request()
+            .headers()
+            .withoutConnectionFields()
+            .without(names::isReserved)
+            .with(names.timeLeftMillis(), Long.toString(leftMillis))
+            .with(names.expectedEndpoint(), endpoint.id().toString());
+    if (call.team().isPresent()) {
+      headers = headers.with(names.team(), call.team().get().name().toString());
+    }
+    Optional<String> lastEvent = call.stream().flatMap(RelayStream::lastEventId);
+    return lastEvent.isEmpty()
+        ? headers
+        : headers
+            .without(names.lastEventId()::equalsIgnoreCase)
+            .with(names.lastEventId(), lastEvent.get());
+  }
+}
--- /dev/null
+++ b/snipewick/src/main/java/org/snipewick/relay/QuotaFilter.java
@@ -0,0 +1,38 @@
+package org.snipewick.relay;
+
+import static java.util.Objects.requireNonNull;
+
+import io.activej.http.HttpResponse;
+import io.activej.promise.Promise;
+import java.time.Duration;
+import java.util.Optional;
+import org.snipewick.failure.Failure;
+import org.snipewick.failure.FailureType;
+import org.snipewick.quota.QuotaLedger;
+import org.snipewick.route.TeamPlan;
+
+/** Refuses what a team asks for beyond its quota. */
+final class QuotaFilter implements RelayFilter {
+  private final QuotaLedger ledger;
+
+  QuotaFilter(QuotaLedger ledger) {
+    this.ledger = requireNonNull(ledger, "ledger");
+  }
+
+  @Override
+  public Promise<HttpResponse> apply(RelayCall call, Next next) {
+    Optional<TeamPlan> team = call.team();
+    if (team.isEmpty() || !team.get().quota().isLimited()) {
+      return next.handle(call);
+    }
+    double cost = team.get().quota().cost(call.request().tokens());
+    Optional<Duration> wait = ledger.trySpend(team.get(), cost);
+    if (wait.isPresent()) {
+      return Promise.ofException(
+          Failure.notRun(FailureType.LIMIT_EXCEEDED, "quota of the team is spent")
+              .withRetryAfter(wait.get())
+              .toException());
+    }
+    return next.handle(call);
+  }
+}
--- /dev/null
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayAttempt.java
@@ -0,0 +1,45 @@
+package org.snipewick.relay;
+
+import static java.util.Objects.requireNonNull;
+
+import org.snipewick.placement.Ended;
+import org.snipewick.placement.PoolPlacement;
+import org.snipewick.roster.RosterEndpoint;
+import org.snipewick.transport.Exchange;
+
+/** One sending of a request to one endpoint, which takes a place there until it has ended. */
+final class RelayAttempt {
+  private final RosterEndpoint endpoint;
+  private final PoolPlacement placement;
+  private final long placedNanos;
+  private final Exchange exchange = Exchange.of();
+  private boolean hasEnded;
+
+  RelayAttempt(RosterEndpoint endpoint, PoolPlacement placement, long placedNanos) {
+    this.endpoint = requireNonNull(endpoint, "endpoint");
+    this.placement = requireNonNull(placement, "placement");
+    this.placedNanos = placedNanos;
+  }
+
+  RosterEndpoint endpoint() {
+    return endpoint;
+  }
+
+  Exchange exchange() {
+    return exchange;
+  }
+
+  /** Gives the place back; later calls have no effect. */
+  void end(Ended how, long nowNanos) {
+    if (!hasEnded) {
+      hasEnded = true;
+      placement.end(endpoint.id(), how, placedNanos, nowNanos);
+    }
+  }
+
+  /** Closes the connection, which makes the endpoint drop the request, and gives the place back. */
+  void cancel(long nowNanos) {
+    exchange.cancel();
+    end(Ended.CANCELLED, nowNanos);
+  }
+}
--- a/snipewick/src/main/java/org/snipewick/request/http/CallerServlet.java
+++ b/snipewick/src/main/java/org/snipewick/request/http/CallerServlet.java
@@ -31,6 +31,7 @@
 import org.snipewick.request.RequestPath;
 import org.snipewick.request.RetryAdvice;
 import org.snipewick.time.TimerService;
+import org.snipewick.transport.CallerConnections;
 
 /** Turns HTTP requests into calls, and answers into HTTP responses, on one event loop. */
 final class CallerServlet implements AsyncServlet {
--- a/snipewick/src/main/java/org/snipewick/request/http/CallerWorker.java
+++ b/snipewick/src/main/java/org/snipewick/request/http/CallerWorker.java
@@ -10,6 +10,7 @@
 import org.snipewick.failure.Failure;
 import org.snipewick.failure.FailureException;
 import org.snipewick.time.TimerService;
+import org.snipewick.transport.CallerConnections;
 
 /** One event loop that serves callers. */
 final class CallerWorker {
@@ -31,7 +32,8 @@
     EventloopThread thread = EventloopThread.start(name);
     Eventloop eventloop = thread.eventloop();
     CallerConnections connections =
-        new CallerConnections(eventloop, parts.settings().headerTimeout().toMillis());
+        CallerConnections.of(
+            eventloop, parts.settings().headerTimeout()::toMillis, MalformedRequests::response);
     CallerServlet servlet = new CallerServlet(parts, clients.apply(eventloop), connections);
     AsyncHttpServer server =
         AsyncHttpServer.create(eventloop, servlet)
--- a/snipewick/src/main/java/org/snipewick/platform/Row.java
+++ b/snipewick/src/main/java/org/snipewick/store/Row.java
@@ -1,4 +1,4 @@
-package org.snipewick.platform;
+package org.snipewick.store;
 
 import static java.util.Objects.requireNonNull;
 
--- /dev/null
+++ b/snipewick/src/main/java/org/snipewick/store/TableRow.java
@@ -0,0 +1,42 @@
+package org.snipewick.store;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.Arrays;
+
+/**
+ * A row of one of the store's tables.
+ *
+ * @param part part of the table that holds the row; may be empty
+ * @param key key within the part
+ * @param value content
+ * @param version number of the transaction that wrote it
+ */
+public record TableRow(String part, String key, byte[] value, long version) {
+
+  /** Checks and copies the parts. */
+  public TableRow {
+    requireNonNull(part, "part");
+    requireNonNull(key, "key");
+    value = value.clone();
+  }
+
+  @Override
+  public byte[] value() {
+    return value.clone();
+  }
+
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof TableRow row
+        && part.equals(row.part)
+        && key.equals(row.key)
+        && Arrays.equals(value, row.value)
+        && version == row.version;
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * key.hashCode() + Long.hashCode(version);
+  }
+}
--- a/snipewick/src/main/java/org/snipewick/platform/http/CircuitBreaker.java
+++ b/snipewick/src/main/java/org/snipewick/store/http/CircuitBreaker.java
@@ -1,4 +1,4 @@
-package org.snipewick.platform.http;
+package org.snipewick.store.http;
 
 import static java.util.Objects.requireNonNull;
 
@@ -12,7 +12,7 @@
 import org.snipewick.event.EventType;
 import org.snipewick.failure.Failure;
 import org.snipewick.failure.FailureType;
-import org.snipewick.platform.PlatformHealth;
+import org.snipewick.store.PlatformHealth;
 import org.snipewick.time.TimerService;
 
 /** Stops calls after failures in a row until a probe has been answered. */
--- a/snipewick/src/main/java/org/snipewick/platform/http/HttpInstanceList.java
+++ b/snipewick/src/main/java/org/snipewick/store/http/HttpInstanceList.java
@@ -1,4 +1,4 @@
-package org.snipewick.platform.http;
+package org.snipewick.store.http;
 
 import static java.util.Objects.requireNonNull;
 
@@ -10,8 +10,8 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Predicate;
 import org.snipewick.identity.FailureDomain;
-import org.snipewick.platform.InstanceList;
-import org.snipewick.platform.ListedInstance;
+import org.snipewick.store.InstanceList;
+import org.snipewick.store.ListedInstance;
 
 /**
  * The platform's list of instances over HTTP. It asks for a part of the list, and only if that has
--- a/snipewick/src/main/java/org/snipewick/platform/http/HttpObjectStore.java
+++ b/snipewick/src/main/java/org/snipewick/store/http/HttpObjectStore.java
@@ -1,4 +1,4 @@
-package org.snipewick.platform.http;
+package org.snipewick.store.http;
 
 import static java.util.Objects.requireNonNull;
 
@@ -6,7 +6,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.snipewick.failure.Outcome;
-import org.snipewick.platform.ObjectStore;
+import org.snipewick.store.ObjectStore;
 import org.snipewick.time.TimerService;
 
 /**
--- a/snipewick/src/main/java/org/snipewick/platform/http/HttpPlatform.java
+++ b/snipewick/src/main/java/org/snipewick/store/http/HttpPlatform.java
@@ -1,4 +1,4 @@
-package org.snipewick.platform.http;
+package org.snipewick.store.http;
 
 import static java.util.Objects.requireNonNull;
 
@@ -7,12 +7,12 @@
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.snipewick.event.EventLog;
-import org.snipewick.platform.InstanceList;
-import org.snipewick.platform.ObjectStore;
-import org.snipewick.platform.PlatformHealth;
-import org.snipewick.platform.Table;
-import org.snipewick.platform.WatchedInstanceList;
-import org.snipewick.platform.WeightStore;
+import org.snipewick.store.InstanceList;
+import org.snipewick.store.ObjectStore;
+import org.snipewick.store.PlatformHealth;
+import org.snipewick.store.Table;
+import org.snipewick.store.WatchedInstanceList;
+import org.snipewick.store.WeightStore;
 import org.snipewick.time.TimerService;
 
 /** The platform over HTTP: its services share one client, retry budget and circuit breaker. */
--- a/snipewick/src/main/java/org/snipewick/platform/http/HttpTable.java
+++ b/snipewick/src/main/java/org/snipewick/store/http/HttpTable.java
@@ -1,4 +1,4 @@
-package org.snipewick.platform.http;
+package org.snipewick.store.http;
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 import static java.util.Objects.requireNonNull;
@@ -7,10 +7,10 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import org.snipewick.platform.Row;
-import org.snipewick.platform.Table;
-import org.snipewick.platform.Write;
-import org.snipewick.platform.WriteResult;
+import org.snipewick.store.Row;
+import org.snipewick.store.Table;
+import org.snipewick.store.Write;
+import org.snipewick.store.WriteResult;
 
 /** The platform's table over HTTP; results complete on threads of the HTTP client or timer. */
 public final class HttpTable implements Table {
--- a/snipewick/src/main/java/org/snipewick/platform/http/HttpWeightStore.java
+++ b/snipewick/src/main/java/org/snipewick/store/http/HttpWeightStore.java
@@ -1,9 +1,9 @@
-package org.snipewick.platform.http;
+package org.snipewick.store.http;
 
 import static java.util.Objects.requireNonNull;
 
 import java.util.concurrent.CompletableFuture;
-import org.snipewick.platform.WeightStore;
+import org.snipewick.store.WeightStore;
 
 /** The platform's weight store over HTTP, asked by HEAD. */
 public final class HttpWeightStore implements WeightStore {
--- a/snipewick/src/main/java/org/snipewick/platform/http/Parsing.java
+++ b/snipewick/src/main/java/org/snipewick/store/http/Parsing.java
@@ -1,4 +1,4 @@
-package org.snipewick.platform.http;
+package org.snipewick.store.http;
 
 import static java.util.Objects.requireNonNull;
 
--- a/snipewick/src/main/java/org/snipewick/platform/http/TableFormat.java
+++ b/snipewick/src/main/java/org/snipewick/store/http/TableFormat.java
@@ -1,4 +1,4 @@
-package org.snipewick.platform.http;
+package org.snipewick.store.http;
 
 import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.core.JsonProcessingException;
@@ -11,10 +11,10 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
-import org.snipewick.platform.ListedInstance;
-import org.snipewick.platform.Row;
-import org.snipewick.platform.Write;
-import org.snipewick.platform.WriteResult;
+import org.snipewick.store.ListedInstance;
+import org.snipewick.store.Row;
+import org.snipewick.store.Write;
+import org.snipewick.store.WriteResult;
 
 /** JSON of the platform's table and instance list. */
 final class TableFormat {
--- a/snipewick/src/main/java/org/snipewick/platform/http/WriteBatcher.java
+++ b/snipewick/src/main/java/org/snipewick/store/http/WriteBatcher.java
@@ -1,4 +1,4 @@
-package org.snipewick.platform.http;
+package org.snipewick.store.http;
 
 import static java.util.Objects.requireNonNull;
 
@@ -12,8 +12,8 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.DoubleSupplier;
-import org.snipewick.platform.Write;
-import org.snipewick.platform.WriteResult;
+import org.snipewick.store.Write;
+import org.snipewick.store.WriteResult;
 import org.snipewick.time.TimerService;
 
 /**
--- a/snipewick/src/main/java/org/snipewick/platform/http/WriteShares.java
+++ b/snipewick/src/main/java/org/snipewick/store/http/WriteShares.java
@@ -1,4 +1,4 @@
-package org.snipewick.platform.http;
+package org.snipewick.store.http;
 
 /**
  * Shares of one instance in the rate of writes that all instances together may send.
--- a/snipewick/src/main/java/org/snipewick/platform/http/package-info.java
+++ b/snipewick/src/main/java/org/snipewick/store/http/package-info.java
@@ -1,2 +1,2 @@
 /** Adapters to the platform over HTTP: batched writes, budgeted retries, fast failure. */
-package org.snipewick.platform.http;
+package org.snipewick.store.http;
--- /dev/null
+++ b/snipewick/src/main/java/org/snipewick/store/package-info.java
@@ -0,0 +1,2 @@
+/** The platform's services as small interfaces: table, object store, list of instances. */
+package org.snipewick.store;
--- a/snipewick/src/main/java/org/snipewick/request/http/CallerConnections.java
+++ b/snipewick/src/main/java/org/snipewick/transport/CallerConnections.java
@@ -1,4 +1,6 @@
-package org.snipewick.request.http;
+package org.snipewick.transport;
+
+import static java.util.Objects.requireNonNull;
 
 import io.activej.eventloop.Eventloop;
 import io.activej.eventloop.net.SocketSettings;
@@ -15,29 +17,65 @@
 import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.LongSupplier;
 
 /**
  * Connections of callers on one event loop. The HTTP server does not read while a request is
  * served, so this class looks whether the caller has closed its side meanwhile, and ends
  * connections on which the head of a request takes too long.
  */
-final class CallerConnections implements WorkerServer, AsyncHttpServer.Inspector {
+public final class CallerConnections implements WorkerServer, AsyncHttpServer.Inspector {
   private static final long NANOS_PER_MILLI = 1_000_000;
 
   private final Eventloop eventloop;
-  private final long headerTimeoutNanos;
+  private final LongSupplier headerTimeoutMillis;
+  private final MalformedAnswer malformedAnswer;
   private final IdentityHashMap<HttpServerConnection, Connection> connections =
       new IdentityHashMap<>();
   private AsyncHttpServer server;
   private SocketChannel accepting;
   private volatile boolean empty = true;
 
-  CallerConnections(Eventloop eventloop, long headerTimeoutMillis) {
-    this.eventloop = eventloop;
-    this.headerTimeoutNanos = headerTimeoutMillis * NANOS_PER_MILLI;
+  private CallerConnections(
+      Eventloop eventloop, LongSupplier headerTimeoutMillis, MalformedAnswer malformedAnswer) {
+    this.eventloop = requireNonNull(eventloop, "eventloop");
+    this.headerTimeoutMillis = requireNonNull(headerTimeoutMillis, "headerTimeoutMillis");
+    this.malformedAnswer = requireNonNull(malformedAnswer, "malformedAnswer");
+  }
+
+  /**
+   * Creates the register of connections of one server.
+   *
+   * @param eventloop event loop that serves them
+   * @param headerTimeoutMillis gives the longest time for the head of a request
+   * @param malformedAnswer renders answers to what is not HTTP
+   * @return register without connections
+   */
+  public static CallerConnections of(
+      Eventloop eventloop, LongSupplier headerTimeoutMillis, MalformedAnswer malformedAnswer) {
+    return new CallerConnections(eventloop, headerTimeoutMillis, malformedAnswer);
+  }
+
+  /** Renders the answer to a request that the HTTP server cannot parse. */
+  @FunctionalInterface
+  public interface MalformedAnswer {
+
+    /**
+     * Renders the answer, after which the connection is closed.
+     *
+     * @param thrown what the server found wrong
+     * @param received what it has received of the request
+     * @return complete HTTP response
+     */
+    ByteBuffer render(Exception thrown, byte[] received);
   }
 
-  void setServer(AsyncHttpServer server) {
+  /**
+   * Sets the server whose connections these are.
+   *
+   * @param server server that has this register as its inspector
+   */
+  public void setServer(AsyncHttpServer server) {
     this.server = server;
   }
 
@@ -61,16 +99,26 @@
     }
   }
 
-  /** Notes that a request is being served, and whom to tell if its caller leaves. */
-  void begin(HttpServerConnection connection, Runnable whenLeft) {
+  /**
+   * Notes that a request is being served.
+   *
+   * @param connection connection of the request
+   * @param whenLeft what to do if the caller leaves
+   */
+  public void begin(HttpServerConnection connection, Runnable whenLeft) {
     Connection known = connections.get(connection);
     if (known != null) {
       known.whenLeft = whenLeft;
     }
   }
 
-  /** Notes that a response was handed to the server. */
-  void end(HttpServerConnection connection, long nowNanos) {
+  /**
+   * Notes that a response was handed to the server.
+   *
+   * @param connection connection of the request
+   * @param nowNanos monotonic time
+   */
+  public void end(HttpServerConnection connection, long nowNanos) {
     Connection known = connections.get(connection);
     if (known != null) {
       known.whenLeft = null;
@@ -79,13 +127,33 @@
     }
   }
 
-  /** Tells whether there are no connections; on any thread. */
-  boolean isEmpty() {
+  /**
+   * Lets a connection end after the response that is being written.
+   *
+   * @param connection connection
+   */
+  public void closeAfterResponse(HttpServerConnection connection) {
+    Connection known = connections.get(connection);
+    if (known != null) {
+      known.shutdownInput();
+    }
+  }
+
+  /**
+   * Tells whether there are no connections; on any thread.
+   *
+   * @return whether none is open
+   */
+  public boolean isEmpty() {
     return empty;
   }
 
-  /** Looks at all connections; to be called on the event loop from time to time. */
-  void probe(long nowNanos) {
+  /**
+   * Looks at all connections; to be called on the event loop from time to time.
+   *
+   * @param nowNanos monotonic time
+   */
+  public void probe(long nowNanos) {
     for (Map.Entry<HttpServerConnection, Connection> entry : List.copyOf(connections.entrySet())) {
       Connection connection = entry.getValue();
       if (connection.whenLeft != null) {
@@ -96,14 +164,18 @@
     }
   }
 
-  /** Tells whether a request is being served or its response is not yet written. */
-  boolean isBusy() {
+  /**
+   * Tells whether a request is being served or its response is not yet written.
+   *
+   * @return whether closing now would cut an answer
+   */
+  public boolean isBusy() {
     return connections.entrySet().stream()
         .anyMatch(entry -> isInUse(entry.getKey(), entry.getValue()));
   }
 
   /** Closes all connections. */
-  void closeAll() {
+  public void closeAll() {
     List.copyOf(connections.values()).forEach(Connection::close);
   }
 
@@ -124,7 +196,8 @@
         };
     if (!waitsForHead || connection.idleSinceNanos == 0) {
       connection.idleSinceNanos = nowNanos;
-    } else if (nowNanos - connection.idleSinceNanos > headerTimeoutNanos) {
+    } else if (nowNanos - connection.idleSinceNanos
+        > headerTimeoutMillis.getAsLong() * NANOS_PER_MILLI) {
       connection.shutdownInput();
     }
   }
@@ -161,7 +234,7 @@
     Connection known = connections.get(connection);
     boolean isReceiving = known != null && known.whenLeft == null;
     if (isReceiving && thrown instanceof MalformedHttpException) {
-      known.sendLast(MalformedRequests.response(thrown, new byte[0]));
+      known.sendLast(malformedAnswer.render(thrown, new byte[0]));
     }
   }
 
@@ -171,7 +244,7 @@
       HttpServerConnection connection, MalformedHttpException thrown, byte[] received) {
     Connection known = connections.get(connection);
     if (known != null) {
-      known.sendLast(MalformedRequests.response(thrown, received));
+      known.sendLast(malformedAnswer.render(thrown, received));
     }
   }
 
--- /dev/null
+++ b/snipewick/src/main/java/org/snipewick/transport/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP over one event loop: exchanges that can be cancelled, connections that are watched. */
+package org.snipewick.transport;
--- a/snipewick/src/main/java/org/snipewick/writer/WritePath.java
+++ b/snipewick/src/main/java/org/snipewick/writer/WritePath.java
@@ -3,9 +3,9 @@
 import static java.util.Objects.requireNonNull;
 
 import java.util.concurrent.CompletableFuture;
-import org.snipewick.platform.Table;
-import org.snipewick.platform.Write;
-import org.snipewick.platform.WriteResult;
+import org.snipewick.store.Table;
+import org.snipewick.store.Write;
+import org.snipewick.store.WriteResult;
 
 /** Way that a conditional write takes to the platform's table. */
 sealed interface WritePath permits WritePath.Direct, RemoteWrites {
--- a/snipewick/src/main/java/org/snipewick/writer/WriterMessages.java
+++ b/snipewick/src/main/java/org/snipewick/writer/WriterMessages.java
@@ -7,9 +7,9 @@
 import java.util.Map;
 import java.util.Optional;
 import org.snipewick.peer.PeerMessage;
-import org.snipewick.platform.Row;
-import org.snipewick.platform.Write;
-import org.snipewick.platform.WriteResult;
+import org.snipewick.store.Row;
+import org.snipewick.store.Write;
+import org.snipewick.store.WriteResult;
 
 /** Messages between the instances of a failure domain and its writer. */
 public final class WriterMessages {
--- a/snipewick/src/test/java/org/snipewick/admin/AdminServerTest.java
+++ b/snipewick/src/test/java/org/snipewick/admin/AdminServerTest.java
@@ -34,8 +34,8 @@
 import org.snipewick.membership.SettableMembership;
 import org.snipewick.peer.PeerCodec;
 import org.snipewick.peer.tcp.TcpPeerNetwork;
-import org.snipewick.platform.InMemoryStore;
-import org.snipewick.platform.InMemoryTable;
+import org.snipewick.store.InMemoryStore;
+import org.snipewick.store.InMemoryTable;
 import org.snipewick.time.SystemTimerService;
 
 @Timeout(30)
--- a/snipewick/src/test/java/org/snipewick/architecture/PackageDependencyTest.java
+++ b/snipewick/src/test/java/org/snipewick/architecture/PackageDependencyTest.java
@@ -22,7 +22,7 @@
     "org.snipewick.idempotency",
     "org.snipewick.lease",
     "org.snipewick.request",
-    "org.snipewick.platform",
+    "org.snipewick.store",
     "org.snipewick.endpoint",
     "org.snipewick.peer"
   };
--- a/snipewick/src/test/java/org/snipewick/catalogue/CatalogueControllerTest.java
+++ b/snipewick/src/test/java/org/snipewick/catalogue/CatalogueControllerTest.java
@@ -17,7 +17,7 @@
 import org.snipewick.failure.FailureType;
 import org.snipewick.failure.Outcome;
 import org.snipewick.identity.InstanceId;
-import org.snipewick.platform.InMemoryTable;
+import org.snipewick.store.InMemoryTable;
 
 @Timeout(60)
 class CatalogueControllerTest {
--- a/snipewick/src/test/java/org/snipewick/catalogue/CataloguePropertyTest.java
+++ b/snipewick/src/test/java/org/snipewick/catalogue/CataloguePropertyTest.java
@@ -13,7 +13,7 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
 import net.jqwik.api.ShrinkingMode;
-import org.snipewick.platform.InMemoryTable;
+import org.snipewick.store.InMemoryTable;
 
 class CataloguePropertyTest {
   private static final List<String> NAMES = List.of("wien.1", "wien.2", "linz.1");
--- a/snipewick/src/test/java/org/snipewick/catalogue/Catalogues.java
+++ b/snipewick/src/test/java/org/snipewick/catalogue/Catalogues.java
@@ -11,8 +11,8 @@
 import org.snipewick.membership.Cluster;
 import org.snipewick.membership.MembershipMessages;
 import org.snipewick.peer.PeerCodec;
-import org.snipewick.platform.InMemoryStore;
-import org.snipewick.platform.InMemoryTable;
+import org.snipewick.store.InMemoryStore;
+import org.snipewick.store.InMemoryTable;
 
 /** Cluster whose instances have a catalogue. */
 final class Catalogues {
--- a/snipewick/src/test/java/org/snipewick/catalogue/FaultyTable.java
+++ b/snipewick/src/test/java/org/snipewick/catalogue/FaultyTable.java
@@ -5,11 +5,11 @@
 import java.util.concurrent.CompletableFuture;
 import org.snipewick.failure.Failure;
 import org.snipewick.failure.FailureType;
-import org.snipewick.platform.InMemoryTable;
-import org.snipewick.platform.Row;
-import org.snipewick.platform.Table;
-import org.snipewick.platform.Write;
-import org.snipewick.platform.WriteResult;
+import org.snipewick.store.InMemoryTable;
+import org.snipewick.store.Row;
+import org.snipewick.store.Table;
+import org.snipewick.store.Write;
+import org.snipewick.store.WriteResult;
 
 /** One instance's way to the shared table, with stale reads, cuts and failing writes. */
 final class FaultyTable implements Table {
--- a/snipewick/src/test/java/org/snipewick/catalogue/TcpClusterTest.java
+++ b/snipewick/src/test/java/org/snipewick/catalogue/TcpClusterTest.java
@@ -26,13 +26,13 @@
 import org.snipewick.membership.MembershipSettings;
 import org.snipewick.peer.PeerCodec;
 import org.snipewick.peer.tcp.TcpPeerNetwork;
-import org.snipewick.platform.InMemoryStore;
-import org.snipewick.platform.InMemoryTable;
-import org.snipewick.platform.ListedInstance;
-import org.snipewick.platform.Row;
-import org.snipewick.platform.Table;
-import org.snipewick.platform.Write;
-import org.snipewick.platform.WriteResult;
+import org.snipewick.store.InMemoryStore;
+import org.snipewick.store.InMemoryTable;
+import org.snipewick.store.ListedInstance;
+import org.snipewick.store.Row;
+import org.snipewick.store.Table;
+import org.snipewick.store.Write;
+import org.snipewick.store.WriteResult;
 import org.snipewick.time.SystemTimerService;
 
 /** Membership and catalogue of several instances over real TCP and the system clock. */
--- a/snipewick/src/test/java/org/snipewick/discovery/EndpointDirectoryTest.java
+++ b/snipewick/src/test/java/org/snipewick/discovery/EndpointDirectoryTest.java
@@ -15,7 +15,7 @@
 import org.snipewick.identity.InstanceId;
 import org.snipewick.membership.SettableMembership;
 import org.snipewick.peer.InMemoryPeers;
-import org.snipewick.platform.ListedInstance;
+import org.snipewick.store.ListedInstance;
 import org.snipewick.time.VirtualTimerService;
 
 class EndpointDirectoryTest {
--- a/snipewick/src/test/java/org/snipewick/discovery/EndpointStatusesTest.java
+++ b/snipewick/src/test/java/org/snipewick/discovery/EndpointStatusesTest.java
@@ -19,8 +19,8 @@
 import org.snipewick.identity.PoolName;
 import org.snipewick.membership.SettableMembership;
 import org.snipewick.peer.InMemoryPeers;
-import org.snipewick.platform.ListedInstance;
 import org.snipewick.pool.EndpointStatus;
+import org.snipewick.store.ListedInstance;
 import org.snipewick.time.VirtualTimerService;
 
 class EndpointStatusesTest {
--- a/snipewick/src/test/java/org/snipewick/entry/ControlCluster.java
+++ b/snipewick/src/test/java/org/snipewick/entry/ControlCluster.java
@@ -34,8 +34,6 @@
 import org.snipewick.membership.Cluster;
 import org.snipewick.membership.MembershipMessages;
 import org.snipewick.peer.PeerCodec;
-import org.snipewick.platform.InstanceList;
-import org.snipewick.platform.ListedInstance;
 import org.snipewick.pool.PeerPoolClient;
 import org.snipewick.pool.PoolClient;
 import org.snipewick.pool.PoolController;
@@ -44,6 +42,8 @@
 import org.snipewick.pool.SchedulerSettings;
 import org.snipewick.pool.WorkEvent;
 import org.snipewick.pool.WorkRequest;
+import org.snipewick.store.InstanceList;
+import org.snipewick.store.ListedInstance;
 import org.snipewick.time.VirtualTimerService;
 
 /** Many instances under load in virtual time: membership, endpoints, schedulers and limits. */
--- a/snipewick/src/test/java/org/snipewick/idempotency/PresenceControllerTest.java
+++ b/snipewick/src/test/java/org/snipewick/idempotency/PresenceControllerTest.java
@@ -15,12 +15,12 @@
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.snipewick.membership.Member;
-import org.snipewick.platform.InMemoryTable;
-import org.snipewick.platform.InMemoryTable.Fault;
-import org.snipewick.platform.Row;
-import org.snipewick.platform.Table;
-import org.snipewick.platform.Write;
-import org.snipewick.platform.WriteResult;
+import org.snipewick.store.InMemoryTable;
+import org.snipewick.store.InMemoryTable.Fault;
+import org.snipewick.store.Row;
+import org.snipewick.store.Table;
+import org.snipewick.store.Write;
+import org.snipewick.store.WriteResult;
 
 /** A whole failure domain starts, for the first time or again, while the platform has faults. */
 class PresenceControllerTest {
--- a/snipewick/src/test/java/org/snipewick/idempotency/TableRequestLedgerTest.java
+++ b/snipewick/src/test/java/org/snipewick/idempotency/TableRequestLedgerTest.java
@@ -24,8 +24,8 @@
 import org.snipewick.membership.Member;
 import org.snipewick.membership.MembershipView;
 import org.snipewick.membership.SettableMembership;
-import org.snipewick.platform.InMemoryTable;
-import org.snipewick.platform.InMemoryTable.Fault;
+import org.snipewick.store.InMemoryTable;
+import org.snipewick.store.InMemoryTable.Fault;
 import org.snipewick.time.VirtualTimerService;
 
 class TableRequestLedgerTest {
--- a/snipewick/src/test/java/org/snipewick/lease/LeaseFaultsTest.java
+++ b/snipewick/src/test/java/org/snipewick/lease/LeaseFaultsTest.java
@@ -16,9 +16,9 @@
 import org.snipewick.failure.FailureType;
 import org.snipewick.identity.EndpointId;
 import org.snipewick.identity.InstanceId;
-import org.snipewick.platform.InMemoryTable;
-import org.snipewick.platform.InMemoryTable.Fault;
 import org.snipewick.pool.EndpointStatus;
+import org.snipewick.store.InMemoryTable;
+import org.snipewick.store.InMemoryTable.Fault;
 import org.snipewick.time.ProcessTimer;
 import org.snipewick.time.VirtualTimerService;
 
--- a/snipewick/src/test/java/org/snipewick/membership/Cluster.java
+++ b/snipewick/src/test/java/org/snipewick/membership/Cluster.java
@@ -19,8 +19,8 @@
 import org.snipewick.peer.MeteredNetwork;
 import org.snipewick.peer.PeerCodec;
 import org.snipewick.peer.PeerNetwork;
-import org.snipewick.platform.InstanceList;
-import org.snipewick.platform.ListedInstance;
+import org.snipewick.store.InstanceList;
+import org.snipewick.store.ListedInstance;
 import org.snipewick.time.ProcessTimer;
 import org.snipewick.time.VirtualTimerService;
 
--- a/snipewick/src/test/java/org/snipewick/membership/DigestExchangeTest.java
+++ b/snipewick/src/test/java/org/snipewick/membership/DigestExchangeTest.java
@@ -7,7 +7,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.snipewick.platform.ListedInstance;
+import org.snipewick.store.ListedInstance;
 
 class DigestExchangeTest {
   private static final Duration SETTLING = Duration.ofSeconds(15);
--- a/snipewick/src/test/java/org/snipewick/membership/MembershipControllerTest.java
+++ b/snipewick/src/test/java/org/snipewick/membership/MembershipControllerTest.java
@@ -177,7 +177,7 @@
   @Test
   void shouldJoinBySeedsWhenPlatformIsDown() {
     cluster.listDown(true);
-    List<org.snipewick.platform.ListedInstance> seeds = cluster.listed().subList(0, 1);
+    List<org.snipewick.store.ListedInstance> seeds = cluster.listed().subList(0, 1);
     cluster.start("wien.9", seeds);
     cluster.advance(Duration.ofSeconds(8));
     assertThat(standing("wien.9")).isTrue();
--- a/snipewick/src/test/java/org/snipewick/platform/DoubtfulWritesTest.java
+++ b/snipewick/src/test/java/org/snipewick/store/DoubtfulWritesTest.java
@@ -1,4 +1,4 @@
-package org.snipewick.platform;
+package org.snipewick.store;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -9,7 +9,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.snipewick.event.EventLog;
-import org.snipewick.platform.InMemoryTable.Fault;
+import org.snipewick.store.InMemoryTable.Fault;
 import org.snipewick.time.VirtualTimerService;
 
 /** Bounded time and truth of {@link DoubtfulWrites}. */
--- a/snipewick/src/test/java/org/snipewick/platform/InMemoryStore.java
+++ b/snipewick/src/test/java/org/snipewick/store/InMemoryStore.java
@@ -1,4 +1,4 @@
-package org.snipewick.platform;
+package org.snipewick.store;
 
 import java.util.HashMap;
 import java.util.Map;
--- a/snipewick/src/test/java/org/snipewick/platform/InMemoryTableTest.java
+++ b/snipewick/src/test/java/org/snipewick/store/InMemoryTableTest.java
@@ -1,4 +1,4 @@
-package org.snipewick.platform;
+package org.snipewick.store;
 
 /** Shows that the table of the other tests keeps the contract. */
 final class InMemoryTableTest extends TableContract {
--- a/snipewick/src/test/java/org/snipewick/platform/InstanceListContract.java
+++ b/snipewick/src/test/java/org/snipewick/store/InstanceListContract.java
@@ -1,4 +1,4 @@
-package org.snipewick.platform;
+package org.snipewick.store;
 
 import static java.util.concurrent.TimeUnit.SECONDS;
 import static org.assertj.core.api.Assertions.assertThat;
@@ -10,8 +10,8 @@
 import org.snipewick.failure.FailureException;
 import org.snipewick.failure.FailureType;
 import org.snipewick.identity.FailureDomain;
-import org.snipewick.platform.ListedInstance.Kind;
-import org.snipewick.platform.ListedInstance.State;
+import org.snipewick.store.ListedInstance.Kind;
+import org.snipewick.store.ListedInstance.State;
 
 /** What any {@link InstanceList} must do; an adapter is tested by extending this class. */
 public abstract class InstanceListContract {
--- a/snipewick/src/test/java/org/snipewick/platform/TableContract.java
+++ b/snipewick/src/test/java/org/snipewick/store/TableContract.java
@@ -1,4 +1,4 @@
-package org.snipewick.platform;
+package org.snipewick.store;
 
 import static java.util.concurrent.TimeUnit.SECONDS;
 import static org.assertj.core.api.Assertions.assertThat;
@@ -15,10 +15,10 @@
 import org.snipewick.failure.Failure;
 import org.snipewick.failure.FailureException;
 import org.snipewick.failure.FailureType;
-import org.snipewick.platform.WriteResult.Ambiguous;
-import org.snipewick.platform.WriteResult.Applied;
-import org.snipewick.platform.WriteResult.Conflict;
-import org.snipewick.platform.WriteResult.Rejected;
+import org.snipewick.store.WriteResult.Ambiguous;
+import org.snipewick.store.WriteResult.Applied;
+import org.snipewick.store.WriteResult.Conflict;
+import org.snipewick.store.WriteResult.Rejected;
 
 /** What any {@link Table} must do; an adapter is tested by extending this class. */
 public abstract class TableContract {
--- a/snipewick/src/test/java/org/snipewick/platform/WatchedInstanceListTest.java
+++ b/snipewick/src/test/java/org/snipewick/store/WatchedInstanceListTest.java
@@ -1,4 +1,4 @@
-package org.snipewick.platform;
+package org.snipewick.store;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- a/snipewick/src/test/java/org/snipewick/platform/http/CircuitBreakerTest.java
+++ b/snipewick/src/test/java/org/snipewick/store/http/CircuitBreakerTest.java
@@ -1,4 +1,4 @@
-package org.snipewick.platform.http;
+package org.snipewick.store.http;
 
 import static java.util.concurrent.CompletableFuture.completedFuture;
 import static org.assertj.core.api.Assertions.assertThat;
--- a/snipewick/src/test/java/org/snipewick/platform/http/DomainWriterRateTest.java
+++ b/snipewick/src/test/java/org/snipewick/store/http/DomainWriterRateTest.java
@@ -1,4 +1,4 @@
-package org.snipewick.platform.http;
+package org.snipewick.store.http;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -36,11 +36,11 @@
 import org.snipewick.peer.MeteredNetwork;
 import org.snipewick.peer.PeerCodec;
 import org.snipewick.peer.PeerNetwork;
-import org.snipewick.platform.InMemoryTable;
-import org.snipewick.platform.Row;
-import org.snipewick.platform.Table;
-import org.snipewick.platform.Write;
-import org.snipewick.platform.WriteResult;
+import org.snipewick.store.InMemoryTable;
+import org.snipewick.store.Row;
+import org.snipewick.store.Table;
+import org.snipewick.store.Write;
+import org.snipewick.store.WriteResult;
 import org.snipewick.time.VirtualTimerService;
 import org.snipewick.writer.DomainTable;
 import org.snipewick.writer.DomainWriter;
--- a/snipewick/src/test/java/org/snipewick/platform/http/HttpPlatformAnswersTest.java
+++ b/snipewick/src/test/java/org/snipewick/store/http/HttpPlatformAnswersTest.java
@@ -1,4 +1,4 @@
-package org.snipewick.platform.http;
+package org.snipewick.store.http;
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 import static java.util.concurrent.TimeUnit.SECONDS;
@@ -28,9 +28,9 @@
 import org.snipewick.event.EventLog;
 import org.snipewick.failure.FailureException;
 import org.snipewick.failure.FailureType;
-import org.snipewick.platform.Row;
-import org.snipewick.platform.Write;
-import org.snipewick.platform.WriteResult;
+import org.snipewick.store.Row;
+import org.snipewick.store.Write;
+import org.snipewick.store.WriteResult;
 import org.snipewick.time.SystemTimerService;
 
 /** Unusual answers of a platform, given in a fixed order. */
--- a/snipewick/src/test/java/org/snipewick/platform/http/SharedWriteRateTest.java
+++ b/snipewick/src/test/java/org/snipewick/store/http/SharedWriteRateTest.java
@@ -1,4 +1,4 @@
-package org.snipewick.platform.http;
+package org.snipewick.store.http;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -13,8 +13,8 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.snipewick.event.EventLog;
-import org.snipewick.platform.Write;
-import org.snipewick.platform.WriteResult;
+import org.snipewick.store.Write;
+import org.snipewick.store.WriteResult;
 import org.snipewick.time.VirtualTimerService;
 
 /** Writes of many instances that share the platform's rate, in virtual time. */
--- a/snipewick/src/test/java/org/snipewick/writer/DomainTableFaultsTest.java
+++ b/snipewick/src/test/java/org/snipewick/writer/DomainTableFaultsTest.java
@@ -32,8 +32,8 @@
 import org.snipewick.membership.SettableMembership;
 import org.snipewick.peer.InMemoryPeers;
 import org.snipewick.peer.PeerNetwork;
-import org.snipewick.platform.InMemoryTable;
-import org.snipewick.platform.Table;
+import org.snipewick.store.InMemoryTable;
+import org.snipewick.store.Table;
 import org.snipewick.time.VirtualTimerService;
 import org.snipewick.writer.LateTable.Fault;
 
--- a/snipewick/src/test/java/org/snipewick/writer/LateTable.java
+++ b/snipewick/src/test/java/org/snipewick/writer/LateTable.java
@@ -4,10 +4,10 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import org.snipewick.platform.Row;
-import org.snipewick.platform.Table;
-import org.snipewick.platform.Write;
-import org.snipewick.platform.WriteResult;
+import org.snipewick.store.Row;
+import org.snipewick.store.Table;
+import org.snipewick.store.Write;
+import org.snipewick.store.WriteResult;
 
 /** Table as a writer reaches it that dies, is paused or writes twice. */
 final class LateTable implements Table {
--- a/systemtests/src/test/java/org/snipewick/systemtests/platform/DoubtfulWritesFaultsTest.java
+++ b/systemtests/src/test/java/org/snipewick/systemtests/platform/DoubtfulWritesFaultsTest.java
@@ -11,14 +11,14 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.snipewick.event.EventLog;
-import org.snipewick.platform.DoubtfulWrites;
-import org.snipewick.platform.Row;
-import org.snipewick.platform.Table;
-import org.snipewick.platform.Write;
-import org.snipewick.platform.WriteResult;
-import org.snipewick.platform.WriteResult.Ambiguous;
-import org.snipewick.platform.WriteResult.Applied;
-import org.snipewick.platform.WriteResult.Conflict;
+import org.snipewick.store.DoubtfulWrites;
+import org.snipewick.store.Row;
+import org.snipewick.store.Table;
+import org.snipewick.store.Write;
+import org.snipewick.store.WriteResult;
+import org.snipewick.store.WriteResult.Ambiguous;
+import org.snipewick.store.WriteResult.Applied;
+import org.snipewick.store.WriteResult.Conflict;
 
 /** Doubtful writes against the stand-in platform, with the faults that make writes doubtful. */
 final class DoubtfulWritesFaultsTest {
--- a/systemtests/src/test/java/org/snipewick/systemtests/platform/HttpInstanceListTest.java
+++ b/systemtests/src/test/java/org/snipewick/systemtests/platform/HttpInstanceListTest.java
@@ -7,10 +7,10 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
-import org.snipewick.platform.InstanceList;
-import org.snipewick.platform.InstanceListContract;
-import org.snipewick.platform.ListedInstance;
 import org.snipewick.standins.platform.PlatformSettings.ListKind;
+import org.snipewick.store.InstanceList;
+import org.snipewick.store.InstanceListContract;
+import org.snipewick.store.ListedInstance;
 
 /** Shows that the instance list over HTTP keeps the contract, whatever the platform offers. */
 final class HttpInstanceListTest {
--- a/systemtests/src/test/java/org/snipewick/systemtests/platform/HttpObjectStoreTest.java
+++ b/systemtests/src/test/java/org/snipewick/systemtests/platform/HttpObjectStoreTest.java
@@ -1,8 +1,8 @@
 package org.snipewick.systemtests.platform;
 
 import org.junit.jupiter.api.AfterEach;
-import org.snipewick.platform.ObjectStore;
-import org.snipewick.platform.ObjectStoreContract;
+import org.snipewick.store.ObjectStore;
+import org.snipewick.store.ObjectStoreContract;
 
 /** Shows that the object store over HTTP keeps the contract. */
 final class HttpObjectStoreTest extends ObjectStoreContract {
--- a/systemtests/src/test/java/org/snipewick/systemtests/platform/HttpTableFaultsTest.java
+++ b/systemtests/src/test/java/org/snipewick/systemtests/platform/HttpTableFaultsTest.java
@@ -12,16 +12,16 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import org.snipewick.platform.Row;
-import org.snipewick.platform.Table;
-import org.snipewick.platform.Write;
-import org.snipewick.platform.WriteResult;
-import org.snipewick.platform.WriteResult.Ambiguous;
-import org.snipewick.platform.WriteResult.Applied;
-import org.snipewick.platform.WriteResult.Rejected;
-import org.snipewick.platform.http.PlatformSettings;
-import org.snipewick.platform.http.PlatformSettings.Batching;
-import org.snipewick.platform.http.PlatformSettings.Retry;
+import org.snipewick.store.Row;
+import org.snipewick.store.Table;
+import org.snipewick.store.Write;
+import org.snipewick.store.WriteResult;
+import org.snipewick.store.WriteResult.Ambiguous;
+import org.snipewick.store.WriteResult.Applied;
+import org.snipewick.store.WriteResult.Rejected;
+import org.snipewick.store.http.PlatformSettings;
+import org.snipewick.store.http.PlatformSettings.Batching;
+import org.snipewick.store.http.PlatformSettings.Retry;
 
 /** Faults of the platform that only an adapter over a network meets. */
 final class HttpTableFaultsTest {
--- a/systemtests/src/test/java/org/snipewick/systemtests/platform/HttpTableTest.java
+++ b/systemtests/src/test/java/org/snipewick/systemtests/platform/HttpTableTest.java
@@ -1,8 +1,8 @@
 package org.snipewick.systemtests.platform;
 
 import org.junit.jupiter.api.AfterEach;
-import org.snipewick.platform.Table;
-import org.snipewick.platform.TableContract;
+import org.snipewick.store.Table;
+import org.snipewick.store.TableContract;
 
 /** Shows that the table over HTTP keeps the contract. */
 final class HttpTableTest extends TableContract {
--- a/systemtests/src/test/java/org/snipewick/systemtests/platform/HttpWeightStoreTest.java
+++ b/systemtests/src/test/java/org/snipewick/systemtests/platform/HttpWeightStoreTest.java
@@ -2,8 +2,8 @@
 
 import java.util.List;
 import org.junit.jupiter.api.AfterEach;
-import org.snipewick.platform.WeightStore;
-import org.snipewick.platform.WeightStoreContract;
+import org.snipewick.store.WeightStore;
+import org.snipewick.store.WeightStoreContract;
 
 /** Shows that the weight store over HTTP keeps the contract. */
 final class HttpWeightStoreTest extends WeightStoreContract {
--- a/systemtests/src/test/java/org/snipewick/systemtests/platform/InstanceListBytesTest.java
+++ b/systemtests/src/test/java/org/snipewick/systemtests/platform/InstanceListBytesTest.java
@@ -9,11 +9,11 @@
 import java.util.function.Supplier;
 import org.junit.jupiter.api.Test;
 import org.snipewick.identity.FailureDomain;
-import org.snipewick.platform.InstanceList;
-import org.snipewick.platform.ListedInstance;
-import org.snipewick.platform.ListedInstance.Kind;
-import org.snipewick.platform.ListedInstance.State;
 import org.snipewick.standins.platform.PlatformSettings.ListKind;
+import org.snipewick.store.InstanceList;
+import org.snipewick.store.ListedInstance;
+import org.snipewick.store.ListedInstance.Kind;
+import org.snipewick.store.ListedInstance.State;
 
 /** Measures what a reader of the list receives at the design size, without HTTP headers. */
 final class InstanceListBytesTest {
--- a/systemtests/src/test/java/org/snipewick/systemtests/platform/PlatformFixture.java
+++ b/systemtests/src/test/java/org/snipewick/systemtests/platform/PlatformFixture.java
@@ -18,11 +18,11 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.UnaryOperator;
 import org.snipewick.event.EventType;
-import org.snipewick.platform.http.HttpPlatform;
-import org.snipewick.platform.http.PlatformSettings;
 import org.snipewick.standins.platform.PlatformSettings.ListKind;
 import org.snipewick.standins.platform.PlatformStandIn;
 import org.snipewick.standins.server.StandInServer;
+import org.snipewick.store.http.HttpPlatform;
+import org.snipewick.store.http.PlatformSettings;
 import org.snipewick.time.SystemTimerService;
 
 /** A stand-in platform with its control address, and the product's access to it. */
--- a/systemtests/src/test/java/org/snipewick/systemtests/platform/PlatformOutageTest.java
+++ b/systemtests/src/test/java/org/snipewick/systemtests/platform/PlatformOutageTest.java
@@ -11,12 +11,12 @@
 import org.snipewick.failure.Failure;
 import org.snipewick.failure.FailureException;
 import org.snipewick.failure.FailureType;
-import org.snipewick.platform.Table;
-import org.snipewick.platform.Write;
-import org.snipewick.platform.WriteResult;
-import org.snipewick.platform.WriteResult.Applied;
-import org.snipewick.platform.WriteResult.Rejected;
-import org.snipewick.platform.http.PlatformSettings;
+import org.snipewick.store.Table;
+import org.snipewick.store.Write;
+import org.snipewick.store.WriteResult;
+import org.snipewick.store.WriteResult.Applied;
+import org.snipewick.store.WriteResult.Rejected;
+import org.snipewick.store.http.PlatformSettings;
 
 /** An outage is met by refusals at once, and its end is found by probes. */
 final class PlatformOutageTest {
--- a/systemtests/src/test/java/org/snipewick/systemtests/platform/WriteThroughputTest.java
+++ b/systemtests/src/test/java/org/snipewick/systemtests/platform/WriteThroughputTest.java
@@ -8,10 +8,10 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
-import org.snipewick.platform.Table;
-import org.snipewick.platform.Write;
-import org.snipewick.platform.WriteResult.Applied;
-import org.snipewick.platform.http.PlatformSettings.Batching;
+import org.snipewick.store.Table;
+import org.snipewick.store.Write;
+import org.snipewick.store.WriteResult.Applied;
+import org.snipewick.store.http.PlatformSettings.Batching;
 
 /** Measures rows written per second under the platform's write rate, with and without batches. */
 final class WriteThroughputTest {
