--- a/bench/src/main/java/org/snipewick/bench/cluster/Processes.java
+++ b/bench/src/main/java/org/snipewick/bench/cluster/Processes.java
@@ -8,7 +8,9 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Supplier;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 /** Processes of a cluster by name, with their logs. */
 public final class Processes {
@@ -19,6 +21,7 @@
   private final Map<String, ChildProcess> byName = new ConcurrentHashMap<>();
   private final List<ChildProcess> started = new CopyOnWriteArrayList<>();
   private final Map<String, ChildProcess> entries = new ConcurrentHashMap<>();
+  private final Map<String, Supplier<String>> inThisProcess = new ConcurrentHashMap<>();
   private String javaOptions = "";
 
   Processes(Path directory) {
@@ -79,13 +82,35 @@
   }
 
   /**
-   * Returns what all processes wrote, those that were replaced too.
+   * Adds an instance that runs in this JVM and therefore has no output of its own.
+   *
+   * @param name name of the instance; replaces an earlier one of that name
+   * @param log gives what the instance has recorded
+   */
+  public void addInThisProcess(String name, Supplier<String> log) {
+    inThisProcess.put(name, log);
+  }
+
+  private String logOfThisProcess(String name) {
+    try {
+      return inThisProcess.get(name).get();
+    } catch (RuntimeException gone) {
+      return "not to be had: " + gone;
+    }
+  }
+
+  /**
+   * Returns what all processes wrote, those that were replaced too, and what instances in this JVM
+   * have recorded.
    *
    * @return logs, each under the name of its process
    */
   public String logs() {
-    return started.stream()
-        .map(each -> "--- " + each.name() + "\n" + each.log())
+    return Stream.concat(
+            started.stream().map(each -> "--- " + each.name() + "\n" + each.log()),
+            inThisProcess.keySet().stream()
+                .sorted()
+                .map(name -> "--- " + name + " (in this JVM)\n" + logOfThisProcess(name)))
         .collect(Collectors.joining("\n"));
   }
 
--- a/snipewick/src/main/java/org/snipewick/event/EventType.java
+++ b/snipewick/src/main/java/org/snipewick/event/EventType.java
@@ -69,6 +69,8 @@
   POOL_HANDED_OVER(404, Level.INFO, "pool handed over"),
   /** An endpoint changed its state. */
   ENDPOINT_CHANGED(405, Level.INFO, "endpoint changed"),
+  /** This instance is registered in the store, where others find it. */
+  INSTANCE_REGISTERED(406, Level.INFO, "instance registered"),
   /** The platform stopped answering. */
   PLATFORM_LOST(500, Level.WARNING, "platform unavailable"),
   /** The platform answers again. */
--- /dev/null
+++ b/snipewick/src/main/java/org/snipewick/fleet/FleetMember.java
@@ -0,0 +1,56 @@
+package org.snipewick.fleet;
+
+import static java.util.Objects.requireNonNull;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import org.snipewick.identity.FailureDomain;
+import org.snipewick.identity.InstanceId;
+import org.snipewick.store.TableRow;
+
+/**
+ * An instance as it has registered itself in the store.
+ *
+ * @param instance name of the instance, the key of its row
+ * @param domain failure domain
+ * @param address address for other instances
+ */
+public record FleetMember(InstanceId instance, FailureDomain domain, InetSocketAddress address) {
+  /** Table that holds a row for each instance. */
+  public static final String TABLE = "instances";
+
+  private static final ObjectMapper JSON = new ObjectMapper();
+
+  /** Checks the parts. */
+  public FleetMember {
+    requireNonNull(instance, "instance");
+    requireNonNull(domain, "domain");
+    requireNonNull(address, "address");
+  }
+
+  /** Returns the content of the row. */
+  byte[] encode() {
+    ObjectNode node = JSON.createObjectNode();
+    node.put("domain", domain.value());
+    node.put("host", address.getHostString());
+    node.put("port", address.getPort());
+    try {
+      return JSON.writeValueAsBytes(node);
+    } catch (IOException impossible) {
+      throw new UncheckedIOException(impossible);
+    }
+  }
+
+  /** Reads a row. */
+  static FleetMember decode(TableRow row) throws IOException {
+    JsonNode node = JSON.readTree(row.value());
+    return new FleetMember(
+        InstanceId.of(row.key()),
+        FailureDomain.of(node.path("domain").asText()),
+        new InetSocketAddress(node.path("host").asText(), node.path("port").asInt()));
+  }
+}
--- a/snipewick/src/main/java/org/snipewick/placement/EndpointLoad.java
+++ b/snipewick/src/main/java/org/snipewick/placement/EndpointLoad.java
@@ -3,6 +3,7 @@
 import static java.util.Objects.requireNonNull;
 
 import java.time.Duration;
+import java.util.OptionalDouble;
 import org.snipewick.roster.RosterEndpoint;
 
 /** What an instance knows of the load and the state of one endpoint. */
@@ -23,10 +24,16 @@
 
   private static final int MAX_DOUBLINGS = 4;
 
+  /** About the last ten answers count. */
+  private static final double NEWEST_PACE_SHARE = 0.1;
+
   private RosterEndpoint endpoint;
   private int slots;
   private int own;
   private int others;
+  private int told;
+  private boolean isToldByAll;
+  private double pace;
   private long reportedAtNanos;
   private boolean isReported;
   private int failuresInRow;
@@ -48,6 +55,7 @@
       isReported = false;
       failuresInRow = 0;
       isPaused = false;
+      pace = 0;
     }
     endpoint = listed;
     slots = listed.slots();
@@ -60,7 +68,31 @@
   /** Returns the requests that are probably there, own ones and those of other instances. */
   int present(long nowNanos) {
     boolean isFresh = isReported && nowNanos - reportedAtNanos < REPORT_VALIDITY_NANOS;
-    return own + (isFresh ? others : 0);
+    if (isToldByAll || !isFresh) {
+      return own + told;
+    }
+    return own + Math.max(told, others);
+  }
+
+  /**
+   * Takes how many requests other instances have there by their own word.
+   *
+   * @param count requests of those that have told lately
+   * @param byAll whether no other instance is silent
+   */
+  void told(int count, boolean byAll) {
+    told = count;
+    isToldByAll = byAll;
+  }
+
+  /** Takes how long a unit of an answer took, in nanoseconds. */
+  void pace(double nanosPerUnit) {
+    pace = pace == 0 ? nanosPerUnit : pace + NEWEST_PACE_SHARE * (nanosPerUnit - pace);
+  }
+
+  /** Returns the mean time of a unit of its answers in nanoseconds; empty before the first one. */
+  OptionalDouble pace() {
+    return pace == 0 ? OptionalDouble.empty() : OptionalDouble.of(pace);
   }
 
   int free(long nowNanos) {
--- a/snipewick/src/main/java/org/snipewick/placement/PoolPlacement.java
+++ b/snipewick/src/main/java/org/snipewick/placement/PoolPlacement.java
@@ -15,6 +15,7 @@
 import java.util.Set;
 import org.snipewick.identity.EndpointId;
 import org.snipewick.identity.FailureDomain;
+import org.snipewick.identity.InstanceId;
 import org.snipewick.identity.Tier;
 import org.snipewick.roster.RosterEndpoint;
 
@@ -30,10 +31,17 @@
   private static final Duration MIN_RETRY_AFTER = Duration.ofMillis(200);
   private static final Duration MAX_RETRY_AFTER = Duration.ofSeconds(5);
 
+  /** A place in another domain is worth its way if the own ones are a third fuller. */
+  private static final double FOREIGN_FACTOR = 1.3;
+
+  /** Several reports long. */
+  private static final long REPORT_VALIDITY_NANOS = Duration.ofSeconds(1).toNanos();
+
   private final FailureDomain domain;
   private final QueueOrder order;
   private final Map<EndpointId, EndpointLoad> endpoints = new HashMap<>();
   private final List<WaitingRequest> waiting = new ArrayList<>();
+  private final Map<InstanceId, PeerPresence> peers = new HashMap<>();
   private final ResidenceTime residence = new ResidenceTime();
 
   private PoolPlacement(FailureDomain domain, QueueOrder order) {
@@ -145,17 +153,30 @@
     return !request.tried().contains(load.endpoint().id());
   }
 
-  /** Chooses the endpoint with the smallest share of its places taken, the own domain first. */
+  /** Chooses the endpoint that is likely to be done first with what it then has. */
   private Optional<EndpointLoad> choose(WaitingRequest request, long nowNanos) {
+    double meanPace = meanPace();
     return endpoints.values().stream()
         .filter(load -> load.takesRequests(nowNanos) && mayTake(load, request))
         .filter(load -> load.free(nowNanos) > 0)
         .min(
-            Comparator.comparing(this::isForeign)
-                .thenComparingDouble(load -> (double) load.present(nowNanos) / load.slots())
+            Comparator.comparingDouble((EndpointLoad load) -> cost(load, meanPace, nowNanos))
                 .thenComparing(load -> load.endpoint().id()));
   }
 
+  private double cost(EndpointLoad load, double meanPace, long nowNanos) {
+    double slowness = load.pace().orElse(meanPace) / meanPace;
+    double occupancy = (load.present(nowNanos) + 1.0) / load.slots();
+    return slowness * occupancy * (isForeign(load) ? FOREIGN_FACTOR : 1);
+  }
+
+  private double meanPace() {
+    return endpoints.values().stream()
+        .flatMapToDouble(load -> load.pace().stream())
+        .average()
+        .orElse(1);
+  }
+
   private boolean isForeign(EndpointLoad load) {
     return !load.endpoint().domain().equals(domain);
   }
@@ -222,6 +243,73 @@
     }
   }
 
+  /**
+   * Takes how long a unit of an answer took.
+   *
+   * @param endpoint endpoint that answered
+   * @param nanosPerUnit nanoseconds for each event of a stream, or for a whole answer
+   */
+  public void pace(EndpointId endpoint, double nanosPerUnit) {
+    EndpointLoad known = endpoints.get(endpoint);
+    if (known != null) {
+      known.pace(nanosPerUnit);
+    }
+  }
+
+  /** What another instance has told. */
+  private record PeerPresence(long heardNanos, Map<EndpointId, Integer> present) {}
+
+  /**
+   * Sets which other instances send requests to the endpoints.
+   *
+   * @param instances other instances
+   */
+  public void peers(Set<InstanceId> instances) {
+    peers.keySet().retainAll(instances);
+    instances.forEach(
+        instance -> peers.putIfAbsent(instance, new PeerPresence(Long.MIN_VALUE, Map.of())));
+  }
+
+  /**
+   * Takes what another instance has at the endpoints.
+   *
+   * @param instance other instance
+   * @param present requests by endpoint
+   * @param nowNanos monotonic time
+   */
+  public void peerPresent(InstanceId instance, Map<EndpointId, Integer> present, long nowNanos) {
+    peers.put(instance, new PeerPresence(nowNanos, present));
+    Map<EndpointId, Integer> sums = new HashMap<>();
+    boolean byAll = true;
+    for (PeerPresence peer : peers.values()) {
+      boolean isSilent =
+          peer.heardNanos() == Long.MIN_VALUE
+              || nowNanos - peer.heardNanos() > REPORT_VALIDITY_NANOS;
+      byAll &= !isSilent;
+      if (!isSilent) {
+        peer.present().forEach((endpoint, count) -> sums.merge(endpoint, count, Integer::sum));
+      }
+    }
+    boolean allHaveTold = byAll;
+    endpoints.forEach((id, load) -> load.told(sums.getOrDefault(id, 0), allHaveTold));
+  }
+
+  /**
+   * Counts own requests at the endpoints.
+   *
+   * @return requests by endpoint; endpoints without any are left out
+   */
+  public Map<EndpointId, Integer> ownPresent() {
+    Map<EndpointId, Integer> present = new HashMap<>();
+    endpoints.forEach(
+        (id, load) -> {
+          if (load.own() > 0) {
+            present.put(id, load.own());
+          }
+        });
+    return present;
+  }
+
   /**
    * Counts the requests that wait.
    *
--- a/snipewick/src/main/java/org/snipewick/platform/ConfigurationListener.java
+++ b/snipewick/src/main/java/org/snipewick/platform/ConfigurationListener.java
@@ -5,8 +5,10 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.snipewick.event.EventLog;
 import org.snipewick.event.EventType;
+import org.snipewick.fleet.ProofExchange;
 import org.snipewick.route.PlanController;
 import org.snipewick.store.MirrorListener;
 import org.snipewick.store.RowChanges;
@@ -19,12 +21,34 @@
 
   private final PlanController plans;
   private final EventLog events;
+  private Optional<ProofExchange> proofs = Optional.empty();
+  private boolean isLost;
 
   ConfigurationListener(PlanController plans, EventLog events) {
     this.plans = requireNonNull(plans, "plans");
     this.events = requireNonNull(events, "events");
   }
 
+  /** Sets who is asked for proofs while the store cannot be read. */
+  void whenLost(ProofExchange exchange) {
+    proofs = Optional.of(exchange);
+    if (isLost) {
+      exchange.storeLost();
+    }
+  }
+
+  @Override
+  public void onLost() {
+    isLost = true;
+    proofs.ifPresent(ProofExchange::storeLost);
+  }
+
+  @Override
+  public void onRegained() {
+    isLost = false;
+    proofs.ifPresent(ProofExchange::storeRegained);
+  }
+
   @Override
   public void onRows(List<TableRow> rows, Moment provenAt) {
     rows.forEach(row -> accept(row, provenAt));
--- a/snipewick/src/main/java/org/snipewick/platform/FrontProcess.java
+++ b/snipewick/src/main/java/org/snipewick/platform/FrontProcess.java
@@ -8,6 +8,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.snipewick.event.EventType;
@@ -15,14 +16,24 @@
 import org.snipewick.event.Timeline;
 import org.snipewick.failure.Failure;
 import org.snipewick.failure.FailureType;
+import org.snipewick.fleet.Fleet;
+import org.snipewick.fleet.FleetMember;
+import org.snipewick.fleet.FleetMessages;
+import org.snipewick.fleet.ProofExchange;
+import org.snipewick.fleet.Registration;
 import org.snipewick.metrics.PrometheusText;
+import org.snipewick.peer.PeerCodec;
+import org.snipewick.peer.PeerNetwork;
+import org.snipewick.peer.tcp.TcpPeerNetwork;
 import org.snipewick.quota.QuotaLedger;
 import org.snipewick.relay.HealthServer;
 import org.snipewick.relay.RelayServer;
 import org.snipewick.relay.RelayServices;
 import org.snipewick.roster.EndpointRoster;
 import org.snipewick.route.PlanController;
+import org.snipewick.store.MirrorListener;
 import org.snipewick.store.TableMirror;
+import org.snipewick.time.SystemTimerService;
 import org.snipewick.time.TimerService;
 import org.snipewick.transport.EventloopTimerService;
 import org.snipewick.transport.HttpTransport;
@@ -37,7 +48,7 @@
   private static final int MAX_BODY_BYTES = 16 * 1024 * 1024;
 
   /** How long the store waits for a change; together with the time-out far below revocation. */
-  private static final Duration WATCH_WAIT = Duration.ofSeconds(1);
+  private static final Duration WATCH_WAIT = Duration.ofSeconds(2);
 
   /** Kept between the age of a proof and the bound of the revocation for the time of a step. */
   private static final Duration REVOCATION_MARGIN = Duration.ofMillis(300);
@@ -59,6 +70,8 @@
   private final Timeline events;
   private final MetricRegistry metrics = new MetricRegistry();
   private final PlanController plans;
+  private final QuotaLedger quotas;
+  private final SystemTimerService peerTimer = SystemTimerService.of("peers-timer");
   private final RelayServer relay;
   private final EndpointRoster roster;
   private final CountDownLatch stopped = new CountDownLatch(1);
@@ -72,6 +85,7 @@
     timer = EventloopTimerService.of(eventloop);
     events = Timeline.of(settings.instance().value(), timer, TIMELINE_EVENTS);
     plans = PlanController.of(timer, events, settings.keyRevocation().minus(REVOCATION_MARGIN));
+    quotas = QuotaLedger.of(timer, settings.quotas(), !settings.isFirstStart());
     HttpTransport transport = HttpTransport.of(eventloop, CONNECT_TIMEOUT, MAX_BODY_BYTES);
     relay = RelayServer.listen(eventloop, settings.callers(), services(transport));
     roster = EndpointRoster.of(timer, events, relay::update);
@@ -102,7 +116,7 @@
     return new RelayServices(
         settings.domain(),
         plans,
-        QuotaLedger.of(timer),
+        quotas,
         transport,
         PlatformHeaders.NAMES,
         new RelayServices.RepeatBound(
@@ -114,23 +128,37 @@
   }
 
   private void follow(StoreClient store) {
-    SplittableRandom random = new SplittableRandom();
-    TableMirror.start(
-        store,
-        CONFIGURATION_TABLE,
-        WATCH_WAIT,
-        timer,
-        events,
-        random,
-        new ConfigurationListener(plans, events));
-    TableMirror.start(
-        store,
-        ENDPOINT_TABLE,
-        WATCH_WAIT,
-        timer,
-        events,
-        random,
-        new EndpointListener(roster, events));
+    ConfigurationListener configuration = new ConfigurationListener(plans, events);
+    mirror(store, CONFIGURATION_TABLE, configuration);
+    mirror(store, ENDPOINT_TABLE, new EndpointListener(roster, events));
+    FleetMember self = new FleetMember(settings.instance(), settings.domain(), settings.peers());
+    CompletableFuture<Void> unused =
+        Registration.start(store, self, timer, events, new SplittableRandom())
+            .thenAccept(incarnation -> joinFleet(store, incarnation, configuration));
+  }
+
+  private void mirror(StoreClient store, String table, MirrorListener listener) {
+    TableMirror.start(store, table, WATCH_WAIT, timer, events, new SplittableRandom(), listener);
+  }
+
+  /** Meets the other instances once the store has numbered this start of the process. */
+  private void joinFleet(StoreClient store, long incarnation, ConfigurationListener configuration) {
+    PeerNetwork network =
+        TcpPeerNetwork.listen(
+            settings.instance(),
+            incarnation,
+            settings.peers(),
+            PeerCodec.ofAll(FleetMessages.MESSAGE_TYPES),
+            peerTimer,
+            events,
+            new SplittableRandom());
+    SharedLoad load = new SharedLoad(quotas, relay);
+    Fleet fleet =
+        Fleet.start(settings.instance(), network, eventloop, timer, events, load::report, load);
+    mirror(store, FleetMember.TABLE, fleet);
+    configuration.whenLost(
+        ProofExchange.start(
+            network, eventloop, timer, plans, fleet::others, new SplittableRandom()));
   }
 
   private boolean isReady() {
@@ -160,6 +188,9 @@
 
   private void endWhenIdle(Duration sinceBegin) {
     boolean balancerKnows = sinceBegin.compareTo(BALANCER_DELAY) >= 0;
+    if (balancerKnows) {
+      relay.refuseNew();
+    }
     boolean isLate = sinceBegin.compareTo(settings.stopGrace().minus(END_MARGIN)) >= 0;
     if (stopped.getCount() > 0 && (isLate || (balancerKnows && relay.isIdle()))) {
       relay.close();
--- a/snipewick/src/main/java/org/snipewick/platform/NodeSettings.java
+++ b/snipewick/src/main/java/org/snipewick/platform/NodeSettings.java
@@ -13,6 +13,7 @@
 import org.snipewick.failure.FailureType;
 import org.snipewick.identity.FailureDomain;
 import org.snipewick.identity.InstanceId;
+import org.snipewick.quota.QuotaBounds;
 
 /**
  * Settings that the platform gives a process.
@@ -29,6 +30,8 @@
  * @param repeatRatio repeats for each request to a pool; "bounds.retry_budget_ratio"
  * @param repeatSlack repeats in a window beyond that; "bounds.budget_slack"
  * @param repeatWindow span over which both are counted; "bounds.budget_window_s"
+ * @param quotas how exactly quotas hold; "bounds.quota_window_s", "quota_over" and "quota_slack"
+ * @param isFirstStart whether the whole system starts for the first time; "first_start"
  */
 public record NodeSettings(
     InstanceId instance,
@@ -41,7 +44,9 @@
     Duration stopGrace,
     double repeatRatio,
     double repeatSlack,
-    Duration repeatWindow) {
+    Duration repeatWindow,
+    QuotaBounds quotas,
+    boolean isFirstStart) {
   private static final ObjectMapper YAML = new ObjectMapper(new YAMLFactory());
   private static final double MILLIS_PER_SECOND = 1000;
 
@@ -56,6 +61,7 @@
     requireNonNull(keyRevocation, "keyRevocation");
     requireNonNull(stopGrace, "stopGrace");
     requireNonNull(repeatWindow, "repeatWindow");
+    requireNonNull(quotas, "quotas");
   }
 
   /**
@@ -91,7 +97,12 @@
         seconds(bounds.number("grace_s")),
         bounds.number("retry_budget_ratio"),
         bounds.number("budget_slack"),
-        seconds(bounds.number("budget_window_s")));
+        seconds(bounds.number("budget_window_s")),
+        new QuotaBounds(
+            seconds(bounds.number("quota_window_s")),
+            bounds.number("quota_over"),
+            bounds.number("quota_slack")),
+        fields.truth("first_start"));
   }
 
   private static Duration seconds(double value) {
--- a/snipewick/src/main/java/org/snipewick/platform/StoreClient.java
+++ b/snipewick/src/main/java/org/snipewick/platform/StoreClient.java
@@ -4,6 +4,8 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.activej.http.HttpHeaders;
 import io.activej.http.HttpRequest;
 import io.activej.http.HttpResponse;
 import java.io.IOException;
@@ -22,18 +24,20 @@
 import org.snipewick.store.RowPage;
 import org.snipewick.store.TableReader;
 import org.snipewick.store.TableRow;
+import org.snipewick.store.TableWriter;
 import org.snipewick.time.TimerService;
 import org.snipewick.transport.Exchange;
 import org.snipewick.transport.HttpTransport;
 
 /** Client of the platform's store; to be used on the event loop of its transport. */
-final class StoreClient implements TableReader {
+final class StoreClient implements TableReader, TableWriter {
   /** The store answers within some milliseconds; a silent connection shows only by this. */
   private static final Duration CALL_TIMEOUT = Duration.ofMillis(800);
 
   private static final int MAX_ANSWER_BYTES = 8 * 1024 * 1024;
   private static final int OK = 200;
   private static final int GONE = 410;
+  private static final int CONDITION_FAILED = 412;
   private static final ObjectMapper JSON = new ObjectMapper();
 
   private final HttpTransport transport;
@@ -56,14 +60,53 @@
   public CompletableFuture<RowPage> read(String table, Optional<String> after) {
     String from = after.map(key -> "&from=" + encode(key)).orElse("");
     String path = "/rows-get?table=" + encode(table) + "&part=" + from;
-    return get(path, CALL_TIMEOUT).thenApply(answer -> page(answer, after));
+    return call(HttpRequest.get(address + path), CALL_TIMEOUT)
+        .thenApply(answer -> page(answer, after));
   }
 
   @Override
   public CompletableFuture<RowChanges> changes(String table, long version, Duration wait) {
     String path =
         "/rows-feed?table=" + encode(table) + "&after=" + version + "&wait_ms=" + wait.toMillis();
-    return get(path, wait.plus(CALL_TIMEOUT)).thenApply(StoreClient::decodeChanges);
+    return call(HttpRequest.get(address + path), wait.plus(CALL_TIMEOUT))
+        .thenApply(StoreClient::decodeChanges);
+  }
+
+  @Override
+  public CompletableFuture<Long> put(String table, String key, byte[] value) {
+    ObjectNode body = JSON.createObjectNode();
+    body.putArray("expected_rev");
+    body.putArray("writes")
+        .add(rowName(table, key).put("value", Base64.getEncoder().encodeToString(value)));
+    body.putArray("remove");
+    return transact(body).thenApply(answer -> json(answer).path("ver").asLong());
+  }
+
+  @Override
+  public CompletableFuture<Void> remove(String table, String key, long version) {
+    ObjectNode body = JSON.createObjectNode();
+    body.putArray("expected_rev").add(rowName(table, key).put("ver", version));
+    body.putArray("writes");
+    body.putArray("remove").add(rowName(table, key));
+    return transact(body)
+        .thenAccept(
+            answer -> {
+              if (answer.status() != CONDITION_FAILED) {
+                json(answer);
+              }
+            });
+  }
+
+  private static ObjectNode rowName(String table, String key) {
+    return JSON.createObjectNode().put("table", table).put("part", "").put("key", key);
+  }
+
+  private CompletableFuture<Answer> transact(ObjectNode body) {
+    HttpRequest request =
+        HttpRequest.post(address + "/rows-tx")
+            .withHeader(HttpHeaders.CONTENT_TYPE, "application/json")
+            .withBody(body.toString().getBytes(StandardCharsets.UTF_8));
+    return call(request, CALL_TIMEOUT);
   }
 
   /** The range begins with the key after which reading goes on, so that row is left out. */
@@ -121,7 +164,7 @@
     }
   }
 
-  private CompletableFuture<Answer> get(String pathAndQuery, Duration timeout) {
+  private CompletableFuture<Answer> call(HttpRequest request, Duration timeout) {
     Exchange exchange = Exchange.of();
     CompletableFuture<Answer> result = new CompletableFuture<>();
     TimerService.Subscription limit =
@@ -133,7 +176,7 @@
                   unavailable("store did not answer within " + timeout).toException());
             });
     transport
-        .send(HttpRequest.get(address + pathAndQuery), exchange)
+        .send(request, exchange)
         .then(StoreClient::load)
         .run(
             (answer, thrown) -> {
--- a/snipewick/src/main/java/org/snipewick/quota/QuotaLedger.java
+++ b/snipewick/src/main/java/org/snipewick/quota/QuotaLedger.java
@@ -6,41 +6,52 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.snipewick.identity.InstanceId;
 import org.snipewick.identity.TeamName;
 import org.snipewick.route.TeamPlan;
-import org.snipewick.route.TokenQuota;
 import org.snipewick.time.TimerService;
 
 /**
  * What teams have spent of their quotas over all instances, as far as it is known here. Each
- * instance tells the others what it has spent in all; an instance that is silent may spend its even
- * share, which is therefore taken as spent. Not safe for use by several threads.
+ * instance tells the others what it has spent; an instance that is silent may go on spending its
+ * even share, which is therefore kept for it. Not safe for use by several threads.
  */
 public final class QuotaLedger {
   /** Time without a report after which an instance counts as silent; several reports long. */
   static final Duration SILENCE = Duration.ofSeconds(1);
 
-  private static final double NANOS_PER_SECOND = 1e9;
+  /** Time within which what others spend becomes known here: two reports and the way. */
+  private static final Duration LAG = Duration.ofMillis(250);
+
   private static final Duration MIN_RETRY_AFTER = Duration.ofMillis(200);
   private static final Duration MAX_RETRY_AFTER = Duration.ofSeconds(5);
 
   private final TimerService timer;
+  private final QuotaBounds bounds;
+  private final boolean mayHaveSpentBefore;
+  private final long startedNanos;
   private final Map<TeamName, Account> accounts = new HashMap<>();
   private final Map<InstanceId, Peer> peers = new HashMap<>();
 
-  private QuotaLedger(TimerService timer) {
+  private QuotaLedger(TimerService timer, QuotaBounds bounds, boolean mayHaveSpentBefore) {
     this.timer = requireNonNull(timer, "timer");
+    this.bounds = requireNonNull(bounds, "bounds");
+    this.mayHaveSpentBefore = mayHaveSpentBefore;
+    this.startedNanos = timer.nanoTime();
   }
 
   /**
-   * Creates a ledger in which nothing was spent.
+   * Creates a ledger in which nothing was spent yet.
    *
    * @param timer source of time
+   * @param bounds how exactly quotas have to hold
+   * @param mayHaveSpentBefore whether an earlier process of this instance may have spent just
+   *     before this one started
    * @return ledger
    */
-  public static QuotaLedger of(TimerService timer) {
-    return new QuotaLedger(timer);
+  public static QuotaLedger of(TimerService timer, QuotaBounds bounds, boolean mayHaveSpentBefore) {
+    return new QuotaLedger(timer, bounds, mayHaveSpentBefore);
   }
 
   /**
@@ -51,47 +62,63 @@
    * @return empty if it was spent, else the time after which the quota probably allows it
    */
   public Optional<Duration> trySpend(TeamPlan team, double amount) {
-    TokenQuota quota = team.quota();
-    Account account = accounts.computeIfAbsent(team.name(), name -> new Account());
-    account.settle(quota, timer.nanoTime());
-    if (account.level >= Math.min(amount, quota.burst())) {
-      account.level -= amount;
+    long now = timer.nanoTime();
+    double limit = bounds.limit(team.quota());
+    Account account = account(team.name(), limit);
+    double free = limit * activeShare(now) - account.expected(now);
+    if (amount <= free) {
+      account.all.add(amount, now);
+      account.here.add(amount, now);
       account.spentHere += amount;
       return Optional.empty();
     }
-    return Optional.of(account.timeUntil(amount, quota));
+    return Optional.of(
+        account
+            .all
+            .nanosUntilFree(amount - free, now)
+            .map(QuotaLedger::retryAfter)
+            .orElse(MAX_RETRY_AFTER));
   }
 
   /**
-   * Returns what this instance has spent since its start.
+   * Tells what this instance has spent.
    *
-   * @return amounts by team
+   * @return spending by team
    */
-  public Map<TeamName, Double> spentHere() {
-    Map<TeamName, Double> spent = new HashMap<>();
-    accounts.forEach((team, account) -> spent.put(team, account.spentHere));
+  public Map<TeamName, Spent> spentHere() {
+    long now = timer.nanoTime();
+    Map<TeamName, Spent> spent = new HashMap<>();
+    accounts.forEach(
+        (team, account) -> spent.put(team, new Spent(account.spentHere, account.here.total(now))));
     return spent;
   }
 
   /**
-   * Takes what another instance has spent since its start.
+   * Spending of a team at one instance.
+   *
+   * @param total since the start of the process
+   * @param recent within the latest window
+   */
+  public record Spent(double total, double recent) {}
+
+  /**
+   * Takes what another instance has spent. A lower total than before means that it started again.
    *
    * @param instance other instance
-   * @param incarnation its start; a later one begins at 0 again
-   * @param spent amounts by team
+   * @param spent spending by team
    */
-  public void report(InstanceId instance, long incarnation, Map<TeamName, Double> spent) {
+  public void report(InstanceId instance, Map<TeamName, Spent> spent) {
     long now = timer.nanoTime();
-    Peer peer = peers.get(instance);
-    if (peer == null || peer.incarnation != incarnation) {
-      peer = new Peer(incarnation);
-      peers.put(instance, peer);
-    }
-    for (Map.Entry<TeamName, Double> each : spent.entrySet()) {
-      Double before = peer.spent.put(each.getKey(), each.getValue());
-      double more = each.getValue() - (before == null ? 0 : before);
+    Peer peer = peers.computeIfAbsent(instance, name -> new Peer());
+    for (Map.Entry<TeamName, Spent> each : spent.entrySet()) {
+      Double before = peer.totals.put(each.getKey(), each.getValue().total());
+      double more =
+          before == null || before > each.getValue().total()
+              ? each.getValue().recent()
+              : each.getValue().total() - before;
       Account account = accounts.computeIfAbsent(each.getKey(), name -> new Account());
-      account.level -= Math.max(0, more);
+      account.all.add(more, now);
+      account.lately.add(more, now);
     }
     peer.heardNanos = now;
   }
@@ -101,56 +128,58 @@
    *
    * @param instances other instances that are listed
    */
-  public void listed(Iterable<InstanceId> instances) {
-    Map<InstanceId, Peer> kept = new HashMap<>();
-    for (InstanceId instance : instances) {
-      Peer known = peers.get(instance);
-      kept.put(instance, known == null ? new Peer(0) : known);
+  public void listed(Set<InstanceId> instances) {
+    peers.keySet().retainAll(instances);
+    instances.forEach(instance -> peers.computeIfAbsent(instance, name -> new Peer()));
+  }
+
+  private Account account(TeamName team, double limit) {
+    Account account = accounts.computeIfAbsent(team, name -> new Account());
+    if (!account.isSeeded) {
+      account.isSeeded = true;
+      if (mayHaveSpentBefore) {
+        account.all.add(limit / (peers.size() + 1), startedNanos);
+      }
     }
-    peers.clear();
-    peers.putAll(kept);
+    return account;
+  }
+
+  /** Returns the share of a limit that is not kept for silent instances. */
+  private double activeShare(long nowNanos) {
+    long silent = peers.values().stream().filter(peer -> peer.isSilent(nowNanos)).count();
+    return 1 - silent / (peers.size() + 1.0);
+  }
+
+  private static Duration retryAfter(long nanos) {
+    Duration wait = Duration.ofNanos(nanos);
+    if (wait.compareTo(MIN_RETRY_AFTER) < 0) {
+      return MIN_RETRY_AFTER;
+    }
+    return wait.compareTo(MAX_RETRY_AFTER) > 0 ? MAX_RETRY_AFTER : wait;
   }
 
   /** What another instance has told. */
   private static final class Peer {
-    private final long incarnation;
-    private final Map<TeamName, Double> spent = new HashMap<>();
+    private final Map<TeamName, Double> totals = new HashMap<>();
     private long heardNanos = Long.MIN_VALUE;
 
-    Peer(long incarnation) {
-      this.incarnation = incarnation;
-    }
-
     boolean isSilent(long nowNanos) {
       return heardNanos == Long.MIN_VALUE || nowNanos - heardNanos > SILENCE.toNanos();
     }
   }
 
-  /** What is left of one team's quota. */
+  /** Spending of one team. */
   private final class Account {
-    private double level = Double.NaN;
+    private final SpendingWindow all = new SpendingWindow(bounds.window().toNanos());
+    private final SpendingWindow here = new SpendingWindow(bounds.window().toNanos());
+    private final SpendingWindow lately = new SpendingWindow(SILENCE.toNanos());
     private double spentHere;
-    private long settledNanos;
+    private boolean isSeeded;
 
-    /** Adds what has accrued since the last time, less the shares of silent instances. */
-    void settle(TokenQuota quota, long nowNanos) {
-      if (Double.isNaN(level)) {
-        level = quota.burst() / (peers.size() + 1);
-        settledNanos = nowNanos;
-      }
-      double accrued = (nowNanos - settledNanos) / NANOS_PER_SECOND * quota.perSecond();
-      long silent = peers.values().stream().filter(peer -> peer.isSilent(nowNanos)).count();
-      level = Math.min(quota.burst(), level + accrued * (1 - silent / (peers.size() + 1.0)));
-      settledNanos = nowNanos;
-    }
-
-    Duration timeUntil(double amount, TokenQuota quota) {
-      double missing = Math.min(amount, quota.burst()) - level;
-      Duration wait = Duration.ofNanos((long) (missing / quota.perSecond() * NANOS_PER_SECOND));
-      if (wait.compareTo(MIN_RETRY_AFTER) < 0) {
-        return MIN_RETRY_AFTER;
-      }
-      return wait.compareTo(MAX_RETRY_AFTER) > 0 ? MAX_RETRY_AFTER : wait;
+    /** Returns what is spent in the window, with what others have probably spent meanwhile. */
+    double expected(long nowNanos) {
+      double unheard = lately.total(nowNanos) * LAG.toNanos() / SILENCE.toNanos();
+      return all.total(nowNanos) + unheard;
     }
   }
 }
--- a/snipewick/src/main/java/org/snipewick/relay/RelayAttempt.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayAttempt.java
@@ -2,6 +2,7 @@
 
 import static java.util.Objects.requireNonNull;
 
+import java.util.Optional;
 import org.snipewick.placement.Ended;
 import org.snipewick.placement.PoolPlacement;
 import org.snipewick.roster.RosterEndpoint;
@@ -37,6 +38,19 @@
     }
   }
 
+  /** Gives the place back after a whole answer, whose time tells how fast the endpoint is. */
+  void answered(boolean isSound, long nowNanos) {
+    if (isSound) {
+      placement.pace(endpoint.id(), nowNanos - placedNanos);
+    }
+    end(isSound ? Ended.ANSWERED : Ended.FAILED, nowNanos);
+  }
+
+  /** Takes how long each piece of a stream took, if it had enough of them. */
+  void streamed(Optional<Double> nanosPerPiece) {
+    nanosPerPiece.ifPresent(nanos -> placement.pace(endpoint.id(), nanos));
+  }
+
   /** Closes the connection, which makes the endpoint drop the request, and gives the place back. */
   void cancel(long nowNanos) {
     exchange.cancel();
--- a/snipewick/src/main/java/org/snipewick/relay/RelayDispatcher.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayDispatcher.java
@@ -14,9 +14,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.Collectors;
 import org.snipewick.failure.Failure;
 import org.snipewick.failure.FailureType;
+import org.snipewick.identity.EndpointId;
+import org.snipewick.identity.InstanceId;
 import org.snipewick.identity.PoolName;
 import org.snipewick.placement.Ended;
 import org.snipewick.placement.PlacementDecision;
@@ -47,7 +50,7 @@
   private final Map<PoolName, RepeatBudget> budgets = new HashMap<>();
   private final Map<String, RelayCall> waiting = new HashMap<>();
   private boolean isReviewPlanned;
-  private int instances = 1;
+  private Set<InstanceId> peers = Set.of();
   private long sequence;
 
   RelayDispatcher(RelayServices services) {
@@ -56,14 +59,27 @@
     this.records = new RelayRecords(services);
   }
 
-  /** Sets how many instances share the budget of repeats. */
-  void setInstances(int count) {
-    if (count != instances) {
-      instances = count;
+  /** Sets which other instances share endpoints and the budget of repeats. */
+  void peers(Set<InstanceId> others) {
+    if (!peers.equals(others)) {
+      peers = Set.copyOf(others);
       budgets.clear();
+      pools.values().forEach(pool -> pool.peers(peers));
     }
   }
 
+  /** Takes what another instance has at endpoints. */
+  void peerPresent(InstanceId instance, Map<EndpointId, Integer> present) {
+    pools.values().forEach(pool -> pool.peerPresent(instance, present, now()));
+  }
+
+  /** Counts own requests at endpoints. */
+  Map<EndpointId, Integer> ownPresent() {
+    Map<EndpointId, Integer> present = new HashMap<>();
+    pools.values().forEach(pool -> present.putAll(pool.ownPresent()));
+    return present;
+  }
+
   /** Takes all endpoints as they are listed now. */
   void update(Collection<RosterEndpoint> endpoints) {
     Map<PoolName, List<RosterEndpoint>> byPool =
@@ -230,7 +246,7 @@
                 broke(call, attempt, thrown.toString());
               } else {
                 byte[] content = body.getArray();
-                attempt.end(head.isServerError() ? Ended.FAILED : Ended.ANSWERED, now());
+                attempt.answered(!head.isServerError(), now());
                 succeed(call, head.status());
                 call.response()
                     .trySet(RelayResponses.whole(head.status(), head.headers(), content));
@@ -265,7 +281,8 @@
       return;
     }
     records.firstEvent(call, now());
-    RelayStream stream = new RelayStream(call.route().isResumable(), listener(call, head));
+    RelayStream stream =
+        new RelayStream(call.route().isResumable(), services.timer(), listener(call, head));
     stream.readFrom(body);
     call.streaming(stream);
     call.response().trySet(RelayResponses.streamed(head.status(), head.headers(), stream));
@@ -275,7 +292,12 @@
     return new RelayStream.Listener() {
       @Override
       public void whole() {
-        call.attempt().ifPresent(attempt -> attempt.end(Ended.ANSWERED, now()));
+        call.attempt()
+            .ifPresent(
+                attempt -> {
+                  attempt.streamed(call.stream().flatMap(RelayStream::nanosPerPiece));
+                  attempt.end(Ended.ANSWERED, now());
+                });
         succeed(call, head.status());
         decide(call.pool());
       }
@@ -395,13 +417,20 @@
 
   private PoolPlacement pool(PoolName name) {
     return pools.computeIfAbsent(
-        name, pool -> PoolPlacement.of(services.domain(), QueueOrder.byTierOnTimeFirst()));
+        name,
+        pool -> {
+          PoolPlacement created =
+              PoolPlacement.of(services.domain(), QueueOrder.byTierOnTimeFirst());
+          created.peers(peers);
+          return created;
+        });
   }
 
   private RepeatBudget budget(PoolName name) {
     RelayServices.RepeatBound bound = services.repeats();
     return budgets.computeIfAbsent(
-        name, pool -> RepeatBudget.of(bound.ratio(), bound.slack(), instances, bound.window()));
+        name,
+        pool -> RepeatBudget.of(bound.ratio(), bound.slack(), peers.size() + 1, bound.window()));
   }
 
   private long now() {
--- a/snipewick/src/main/java/org/snipewick/relay/RelayServer.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayServer.java
@@ -13,6 +13,10 @@
 import java.time.Duration;
 import java.util.Collection;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.snipewick.identity.EndpointId;
+import org.snipewick.identity.InstanceId;
 import org.snipewick.roster.RosterEndpoint;
 import org.snipewick.route.CallerLimits;
 import org.snipewick.route.RoutingPlan;
@@ -31,6 +35,7 @@
 
   private final RelayServices services;
   private final RelayDispatcher dispatcher;
+  private final RelayServlet servlet;
   private final AsyncHttpServer server;
   private final CallerConnections connections;
   private final PrimaryServer acceptor;
@@ -41,8 +46,9 @@
     dispatcher = new RelayDispatcher(services);
     connections =
         CallerConnections.of(eventloop, this::headerTimeoutMillis, RelayServer::malformedAnswer);
+    servlet = new RelayServlet(services, dispatcher, connections);
     server =
-        AsyncHttpServer.create(eventloop, new RelayServlet(services, dispatcher, connections))
+        AsyncHttpServer.create(eventloop, servlet)
             .withReadWriteTimeout(LONGEST_RESPONSE, LONGEST_RESPONSE)
             .withKeepAliveTimeout(IDLE_TIMEOUT_WITHOUT_PLAN)
             .withInspector(connections);
@@ -84,12 +90,31 @@
   }
 
   /**
-   * Sets how many instances there are, which share the budget of repeats.
+   * Sets which other instances share endpoints and the budget of repeats.
    *
-   * @param count instances, at least 1
+   * @param others other instances
    */
-  public void setInstances(int count) {
-    dispatcher.setInstances(count);
+  public void peers(Set<InstanceId> others) {
+    dispatcher.peers(others);
+  }
+
+  /**
+   * Takes what another instance has at endpoints.
+   *
+   * @param instance other instance
+   * @param present requests by endpoint
+   */
+  public void peerPresent(InstanceId instance, Map<EndpointId, Integer> present) {
+    dispatcher.peerPresent(instance, present);
+  }
+
+  /**
+   * Counts own requests at endpoints.
+   *
+   * @return requests by endpoint; endpoints without any are left out
+   */
+  public Map<EndpointId, Integer> ownPresent() {
+    return dispatcher.ownPresent();
   }
 
   /**
@@ -106,6 +131,15 @@
     server.withMaxKeepAliveRequests(1);
   }
 
+  /**
+   * Refuses requests that come from now on, and closes idle connections: what is begun so late
+   * might not end in time.
+   */
+  public void refuseNew() {
+    servlet.refuseNew();
+    server.withKeepAliveTimeout(Duration.ZERO);
+  }
+
   /**
    * Tells whether a stop would cut no answer.
    *
@@ -123,7 +157,9 @@
   }
 
   private void apply(RoutingPlan plan) {
-    server.withKeepAliveTimeout(plan.limits().idleTimeout());
+    if (!servlet.isRefusing()) {
+      server.withKeepAliveTimeout(plan.limits().idleTimeout());
+    }
   }
 
   private long headerTimeoutMillis() {
--- a/snipewick/src/main/java/org/snipewick/relay/RelayServlet.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayServlet.java
@@ -9,6 +9,7 @@
 import io.activej.http.HttpResponse;
 import io.activej.http.HttpServerConnection;
 import io.activej.promise.Promise;
+import java.time.Duration;
 import java.util.Optional;
 import org.snipewick.failure.Failure;
 import org.snipewick.failure.FailureException;
@@ -20,11 +21,15 @@
   /** Bound until a plan tells the operators' own. */
   private static final int MAX_BODY_BYTES = 16 * 1024 * 1024;
 
+  /** Another instance can take the request at once. */
+  private static final Duration RETRY_ELSEWHERE = Duration.ofMillis(50);
+
   private final RelayServices services;
   private final RelayDispatcher dispatcher;
   private final CallerConnections connections;
   private final RelayRecords records;
   private final RelayFilter.Next way;
+  private boolean isRefusing;
 
   RelayServlet(RelayServices services, RelayDispatcher dispatcher, CallerConnections connections) {
     this.services = requireNonNull(services, "services");
@@ -38,6 +43,15 @@
                     .before(new QuotaFilter(services.quotas()).before(dispatcher::dispatch)));
   }
 
+  /** Refuses all requests from now on. */
+  void refuseNew() {
+    isRefusing = true;
+  }
+
+  boolean isRefusing() {
+    return isRefusing;
+  }
+
   @Override
   public Promise<HttpResponse> serve(HttpRequest received) {
     long receivedNanos = services.timer().nanoTime();
@@ -90,7 +104,7 @@
     HttpServerConnection connection = received.getConnection();
     connections.begin(connection, () -> dispatcher.callerLeft(call));
     call.whenFinished(() -> connections.end(connection, services.timer().nanoTime()));
-    return way.handle(call)
+    return begin(call)
         .then(
             Promise::of,
             thrown -> {
@@ -103,6 +117,15 @@
             });
   }
 
+  private Promise<HttpResponse> begin(RelayCall call) {
+    return isRefusing
+        ? Promise.ofException(
+            Failure.notRun(FailureType.STOPPING, "instance is stopping")
+                .withRetryAfter(RETRY_ELSEWHERE)
+                .toException())
+        : way.handle(call);
+  }
+
   private HttpResponse refuse(String requestId, Failure failure) {
     return RelayResponses.problem(failure, requestId, services.names());
   }
--- a/snipewick/src/main/java/org/snipewick/relay/RelayStream.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayStream.java
@@ -7,18 +7,27 @@
 import io.activej.csp.ChannelSupplier;
 import io.activej.promise.Promise;
 import java.util.Optional;
+import org.snipewick.time.TimerService;
 
 /**
  * Body of a response that passes the events of an endpoint on as they arrive. If the stream may be
  * resumed, it is cut at whole events, and goes on with that of another endpoint if one breaks off.
  */
 final class RelayStream extends AbstractChannelSupplier<ByteBuf> {
+  /** Fewer pieces say more of the prompts that came between them than of the endpoint. */
+  private static final int PIECES_FOR_PACE = 8;
+
+  private final TimerService timer;
   private final Listener listener;
   private final Optional<EventSplitter> events;
   private ChannelSupplier<ByteBuf> source;
   private boolean isOver;
+  private int pieces;
+  private long firstPieceNanos;
+  private long lastPieceNanos;
 
-  RelayStream(boolean resumable, Listener listener) {
+  RelayStream(boolean resumable, TimerService timer, Listener listener) {
+    this.timer = requireNonNull(timer, "timer");
     this.listener = requireNonNull(listener, "listener");
     this.events = resumable ? Optional.of(new EventSplitter()) : Optional.empty();
   }
@@ -56,10 +65,22 @@
     return source.get().then(this::pass, this::broke);
   }
 
+  /** Returns the mean time of a piece in nanoseconds; empty after too few of them. */
+  Optional<Double> nanosPerPiece() {
+    return pieces < PIECES_FOR_PACE
+        ? Optional.empty()
+        : Optional.of((double) (lastPieceNanos - firstPieceNanos) / (pieces - 1));
+  }
+
   private Promise<ByteBuf> pass(ByteBuf buffer) {
     if (buffer == null) {
       return ended();
     }
+    lastPieceNanos = timer.nanoTime();
+    if (pieces == 0) {
+      firstPieceNanos = lastPieceNanos;
+    }
+    pieces++;
     if (events.isEmpty()) {
       return Promise.of(buffer);
     }
--- /dev/null
+++ b/snipewick/src/main/java/org/snipewick/store/TableWriter.java
@@ -0,0 +1,29 @@
+package org.snipewick.store;
+
+import java.util.concurrent.CompletableFuture;
+
+/** Writes rows of the system's own tables in the store. */
+public interface TableWriter {
+
+  /**
+   * Writes a row, whatever stands there.
+   *
+   * @param table name of the table
+   * @param key key of the row in the part with an empty name
+   * @param value content
+   * @return number of the transaction, which rises with each one; fails with {@link
+   *     org.snipewick.failure.FailureType#PLATFORM_UNAVAILABLE}, and the write may have been done
+   *     or be done later if the outcome is unknown
+   */
+  CompletableFuture<Long> put(String table, String key, byte[] value);
+
+  /**
+   * Removes a row unless it was written again.
+   *
+   * @param table name of the table
+   * @param key key of the row in the part with an empty name
+   * @param version number of the transaction that wrote it
+   * @return completes when the row is gone or another one; fails as {@link #put} does
+   */
+  CompletableFuture<Void> remove(String table, String key, long version);
+}
--- a/snipewick/src/main/java/org/snipewick/time/Moment.java
+++ b/snipewick/src/main/java/org/snipewick/time/Moment.java
@@ -5,7 +5,7 @@
 import java.time.Duration;
 
 /**
- * A moment on both clocks of a process. The monotonic clock stands still while the machine is
+ * A moment on both clocks of a process. The monotonic clock stands still while the host is
  * suspended, and the wall clock may be set; the time that surely has not been exceeded since a
  * moment is therefore the greater of what the two show.
  *
@@ -36,4 +36,14 @@
     Duration wall = Duration.ofMillis(Math.max(0, epochMillis - earlier.epochMillis));
     return monotonic.compareTo(wall) >= 0 ? monotonic : wall;
   }
+
+  /**
+   * Returns an earlier moment.
+   *
+   * @param duration how much earlier
+   * @return moment that lies before this one on both clocks
+   */
+  public Moment minus(Duration duration) {
+    return new Moment(nanos - duration.toNanos(), epochMillis - duration.toMillis());
+  }
 }
--- a/snipewick/src/test/java/org/snipewick/architecture/PackageDependencyTest.java
+++ b/snipewick/src/test/java/org/snipewick/architecture/PackageDependencyTest.java
@@ -49,6 +49,28 @@
               "org.snipewick.settings..",
               "org.snipewick.admin..");
 
+  @ArchTest
+  static final ArchRule ONLY_THE_COMMAND_LINE_KNOWS_THE_ADAPTER_TO_THE_PLATFORM =
+      noClasses()
+          .that()
+          .resideOutsideOfPackages("org.snipewick.platform..", "org.snipewick.cli..")
+          .should()
+          .dependOnClassesThat()
+          .resideInAPackage("org.snipewick.platform..");
+
+  @ArchTest
+  static final ArchRule THE_ADAPTER_TO_THE_PLATFORM_KNOWS_NOTHING_BUILT_ON_OTHER_FORMATS =
+      noClasses()
+          .that()
+          .resideInAPackage("org.snipewick.platform..")
+          .should()
+          .dependOnClassesThat()
+          .resideInAnyPackage(
+              "org.snipewick.entry..",
+              "org.snipewick.cli..",
+              "org.snipewick.admin..",
+              "org.snipewick.store.http..");
+
   @ArchTest
   static final ArchRule PACKAGES_HAVE_NO_CYCLES =
       slices().matching("org.snipewick.(*)..").should().beFreeOfCycles();
--- /dev/null
+++ b/snipewick/src/test/java/org/snipewick/relay/RelayFixture.java
@@ -0,0 +1,184 @@
+package org.snipewick.relay;
+
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+
+import com.codahale.metrics.MetricRegistry;
+import io.activej.eventloop.Eventloop;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import org.snipewick.event.EventLog;
+import org.snipewick.identity.EndpointId;
+import org.snipewick.identity.FailureDomain;
+import org.snipewick.identity.PoolName;
+import org.snipewick.quota.QuotaBounds;
+import org.snipewick.quota.QuotaLedger;
+import org.snipewick.roster.RosterEndpoint;
+import org.snipewick.route.PlanController;
+import org.snipewick.route.RoutingPlan;
+import org.snipewick.time.Moment;
+import org.snipewick.transport.EventloopTimerService;
+import org.snipewick.transport.HttpTransport;
+
+/** Relay on an event loop of its own, with callers that speak bytes. */
+final class RelayFixture implements AutoCloseable {
+  static final HeaderNames NAMES =
+      new HeaderNames(
+          "Call-Id",
+          "Left-Ms",
+          "Key",
+          "Team",
+          "Only-At",
+          "Tokens",
+          "Signature",
+          "Load",
+          "Not-Run",
+          "Last-Event-Id",
+          Set.of("key", "team", "left-ms"),
+          Set.of("only-"));
+
+  private static final FailureDomain DOMAIN = FailureDomain.of("linz");
+  private static final int READ_TIMEOUT_MILLIS = 5_000;
+
+  private final Eventloop eventloop = EventloopTimerService.monotonicEventloop();
+  private final EventloopTimerService timer = EventloopTimerService.of(eventloop);
+  private final PlanController plans =
+      PlanController.of(timer, EventLog.none(), Duration.ofMinutes(1));
+  private final Thread thread = new Thread(eventloop, "relay");
+  private final int port;
+  private RelayServer server;
+
+  RelayFixture(RoutingPlan plan) {
+    try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+      port = free.getLocalPort();
+    } catch (IOException failure) {
+      throw new java.io.UncheckedIOException(failure);
+    }
+    eventloop.keepAlive(true);
+    thread.setDaemon(true);
+    thread.start();
+    onLoop(
+        () -> {
+          server = RelayServer.listen(eventloop, new InetSocketAddress("127.0.0.1", port), parts());
+          plans.accept(plan, Moment.now(timer));
+        });
+  }
+
+  private RelayServices parts() {
+    return new RelayServices(
+        DOMAIN,
+        plans,
+        QuotaLedger.of(timer, new QuotaBounds(Duration.ofSeconds(8), 0, 0), false),
+        HttpTransport.of(eventloop, Duration.ofMillis(500), 1_000_000),
+        NAMES,
+        new RelayServices.RepeatBound(0.2, 50, Duration.ofSeconds(10)),
+        timer,
+        EventLog.none(),
+        new MetricRegistry(),
+        new SplittableRandom(1));
+  }
+
+  /** Lists endpoints of a pool, preferred in the order of their names. */
+  void endpoints(String pool, ScriptedEndpoint... scripted) {
+    List<RosterEndpoint> listed = new ArrayList<>();
+    for (int index = 0; index < scripted.length; index++) {
+      listed.add(endpoint(pool, "e" + index, scripted[index].port()));
+    }
+    onLoop(() -> server.update(listed));
+  }
+
+  /** Lists an endpoint at a port on which nobody listens, and another one. */
+  void endpointsWithDeadOne(String pool, ScriptedEndpoint alive) throws IOException {
+    int dead;
+    try (ServerSocket closed = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+      dead = closed.getLocalPort();
+    }
+    List<RosterEndpoint> listed =
+        List.of(endpoint(pool, "e0", dead), endpoint(pool, "e1", alive.port()));
+    onLoop(() -> server.update(listed));
+  }
+
+  private static RosterEndpoint endpoint(String pool, String id, int port) {
+    return new RosterEndpoint(
+        EndpointId.of(id), 1, PoolName.of(pool), DOMAIN, "127.0.0.1", port, 4, false);
+  }
+
+  void refuseNew() {
+    onLoop(() -> server.refuseNew());
+  }
+
+  /** Sends bytes and reads until the relay closes, or nothing more comes for a while. */
+  String exchange(String request) throws IOException {
+    try (Socket socket = connect()) {
+      socket.getOutputStream().write(request.getBytes(ISO_8859_1));
+      return read(socket, "\r\n\r\n");
+    }
+  }
+
+  Socket connect() throws IOException {
+    Socket socket = new Socket("127.0.0.1", port);
+    socket.setSoTimeout(READ_TIMEOUT_MILLIS);
+    return socket;
+  }
+
+  /** Reads one response with a length, or all up to the end of the connection. */
+  static String read(Socket socket, String endOfHead) throws IOException {
+    ByteArrayOutputStream received = new ByteArrayOutputStream();
+    InputStream input = socket.getInputStream();
+    try {
+      while (!isWhole(received.toString(ISO_8859_1), endOfHead)) {
+        int next = input.read();
+        if (next < 0) {
+          return received.toString(ISO_8859_1) + "<end>";
+        }
+        received.write(next);
+      }
+    } catch (SocketTimeoutException silent) {
+      return received.toString(ISO_8859_1) + "<silent>";
+    }
+    return received.toString(ISO_8859_1);
+  }
+
+  private static boolean isWhole(String received, String endOfHead) {
+    int end = received.indexOf(endOfHead);
+    if (end < 0) {
+      return false;
+    }
+    if (received.substring(0, end).contains("chunked")) {
+      return received.endsWith("\r\n0\r\n\r\n");
+    }
+    int at = received.indexOf("Content-Length: ");
+    if (at < 0) {
+      return false;
+    }
+    int lineEnd = received.indexOf('\r', at);
+    int length = Integer.parseInt(received.substring(at + "Content-Length: ".length(), lineEnd));
+    return received.length() >= end + endOfHead.length() + length;
+  }
+
+  private void onLoop(io.activej.common.function.RunnableEx task) {
+    CompletableFuture<Void> done = eventloop.submit(task);
+    done.join();
+  }
+
+  @Override
+  public void close() {
+    onLoop(() -> server.close());
+    eventloop.execute(
+        () -> {
+          eventloop.keepAlive(false);
+          eventloop.breakEventloop();
+        });
+  }
+}
--- /dev/null
+++ b/snipewick/src/test/java/org/snipewick/relay/RelayServerTest.java
@@ -0,0 +1,302 @@
+package org.snipewick.relay;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.snipewick.route.CallKind;
+import org.snipewick.route.Plans;
+
+/** Plays callers and endpoints byte by byte against a relay. */
+class RelayServerTest {
+  private static final Duration SOON = Duration.ofSeconds(3);
+
+  private final RelayFixture relay =
+      new RelayFixture(
+          Plans.plan(
+              1,
+              Plans.route("safe", "/safe/"),
+              Plans.route("unsafe", "/unsafe/", CallKind.UNSAFE, 1, false),
+              Plans.route("stream", "/stream/", CallKind.STREAM, 1, false),
+              Plans.route("resumable", "/resumable/", CallKind.STREAM, 2, true)));
+
+  @AfterEach
+  void close() {
+    relay.close();
+  }
+
+  @Test
+  void shouldPassRequestAndAnswerOnUnchangedWhenEndpointAnswers() throws IOException {
+    ScriptedEndpoint endpoint = ScriptedEndpoint.start(signed("hello"));
+    relay.endpoints("safe", endpoint);
+    String answer =
+        relay.exchange(
+            request("POST", "/safe/a%2Fb//c?x=1&&y=%20", "X-Own: 7\r\nContent-Length: 4\r\n")
+                + "body");
+    assertThat(answer).startsWith("HTTP/1.1 200").contains("Signature: s\r\n").endsWith("hello");
+    assertThat(endpoint.requests())
+        .singleElement()
+        .asString()
+        .startsWith("POST /safe/a%2Fb//c?x=1&&y=%20 HTTP/1.1\r\n")
+        .contains("X-Own: 7\r\n", "Team: dispatchers\r\n", "Only-At: e0\r\n", "Call-Id: c-1\r\n")
+        .doesNotContain("key-1")
+        .endsWith("body");
+  }
+
+  @Test
+  void shouldReplaceHeadersWhenCallerForgesThoseOfTheSystem() throws IOException {
+    ScriptedEndpoint endpoint = ScriptedEndpoint.start(signed("x"));
+    relay.endpoints("safe", endpoint);
+    relay.exchange(
+        request(
+            "GET", "/safe/", "Team: forged\r\nOnly-At: e9\r\nONLY-EVER: 1\r\nLeft-Ms: 900\r\n"));
+    assertThat(endpoint.requests())
+        .singleElement()
+        .asString()
+        .doesNotContain("forged", "e9", "EVER")
+        .containsPattern("Left-Ms: (8\\d\\d|900)\r\n");
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "/none/, Key: key-1, 404",
+    "/safe/, Key: other, 401",
+    "/safe/, X: y, 401",
+    "/safe/, Key: key-1, 503"
+  })
+  void shouldRefuseWhenRouteOrKeyOrEndpointIsMissing(String path, String key, int status)
+      throws IOException {
+    String answer =
+        relay.exchange("GET " + path + " HTTP/1.1\r\nHost: desk.example\r\n" + key + "\r\n\r\n");
+    assertThat(answer).startsWith("HTTP/1.1 " + status);
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "Content-Length: 5\r\nContent-Length: 44\r\n\r\nhello",
+        "Content-Length : 2\r\n\r\nhi",
+        "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+        "Transfer-Encoding: chunked\r\n\r\nZZ\r\nhello\r\n0\r\n\r\n",
+        "Host: other.example\r\n\r\n",
+        "Call-Id: second\r\n\r\n"
+      })
+  void shouldSendNothingOnWhenRequestIsAmbiguous(String rest) throws IOException {
+    ScriptedEndpoint endpoint = ScriptedEndpoint.start(signed("x"));
+    relay.endpoints("safe", endpoint);
+    String smuggled = "GET /safe/smuggled HTTP/1.1\r\nHost: desk.example\r\nKey: key-1\r\n\r\n";
+    String head = request("POST", "/safe/", "");
+    String answer = relay.exchange(head.substring(0, head.length() - 2) + rest + smuggled);
+    assertThat(answer).startsWith("HTTP/1.1 400");
+    assertThat(endpoint.requests()).isEmpty();
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "HTTP/1.1 200 OK\r\nCall-Id: c-1\r\nContent-Length: 5\r\n\r\nhello",
+        "HTTP/1.1 200 OK\r\nCall-Id: c-9\r\nSignature: s\r\nContent-Length: 5\r\n\r\nhello",
+        "HTTP/1.1 200 OK\r\nSignature: s\r\nContent-Length: 9\r\n\r\nhello",
+        "HTTP/1.1 200 OK\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n",
+        "HTTP/1.1 200 OK\r\nSignature: s\r\nContent-Encoding: gzip\r\nContent-Length: 2\r\n\r\nhi",
+        "no answer in the protocol\r\n\r\n",
+        ""
+      })
+  void shouldNotAnswerWithSuccessWhenEndpointsAnswerIsNotSound(String bytes) throws IOException {
+    ScriptedEndpoint endpoint = ScriptedEndpoint.start(closing(bytes));
+    relay.endpoints("unsafe", endpoint);
+    assertThat(relay.exchange(request("POST", "/unsafe/", ""))).startsWith("HTTP/1.1 502");
+    assertThat(endpoint.requests()).hasSize(1);
+  }
+
+  @Test
+  void shouldDropSurplusBytesWhenEndpointSendsTwoAnswers() throws IOException {
+    String one = "HTTP/1.1 200 OK\r\nSignature: s\r\nContent-Length: 5\r\n\r\nfirst";
+    ScriptedEndpoint endpoint =
+        ScriptedEndpoint.start(closing(one + one.replace("first", "other")));
+    relay.endpoints("unsafe", endpoint);
+    assertThat(relay.exchange(request("POST", "/unsafe/", ""))).endsWith("first");
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n"
+      })
+  void shouldPromiseNotRunOnlyWhenEndpointSaysSo(String bytes) throws IOException {
+    ScriptedEndpoint endpoint = ScriptedEndpoint.start(closing(bytes));
+    relay.endpoints("unsafe", endpoint);
+    assertThat(relay.exchange(request("POST", "/unsafe/", "")))
+        .startsWith("HTTP/1.1 503")
+        .contains("Retry-After: 0.", "not-run");
+  }
+
+  @Test
+  void shouldPassFailureOnWhenEndpointRanAndFailed() throws IOException {
+    ScriptedEndpoint endpoint =
+        ScriptedEndpoint.start(
+            closing("HTTP/1.1 500 Broken\r\nSignature: s\r\nContent-Length: 3\r\n\r\nbad"));
+    relay.endpoints("unsafe", endpoint);
+    assertThat(relay.exchange(request("POST", "/unsafe/", "")))
+        .startsWith("HTTP/1.1 500")
+        .contains("Signature: s")
+        .endsWith("bad");
+  }
+
+  @Test
+  void shouldSendSafeRequestOnceMoreWhenFirstEndpointFails() throws IOException {
+    ScriptedEndpoint bad = ScriptedEndpoint.start(closing("HTTP/1.1 500 Broken\r\n\r\n"));
+    ScriptedEndpoint good = ScriptedEndpoint.start(signed("good"));
+    relay.endpoints("safe", bad, good);
+    assertThat(relay.exchange(request("GET", "/safe/", ""))).endsWith("good");
+    assertThat(bad.requests()).hasSize(1);
+  }
+
+  @Test
+  void shouldTryAnotherEndpointWhenNothingWasSentToTheFirst() throws IOException {
+    ScriptedEndpoint good = ScriptedEndpoint.start(signed("good"));
+    relay.endpointsWithDeadOne("unsafe", good);
+    assertThat(relay.exchange(request("POST", "/unsafe/", ""))).endsWith("good");
+  }
+
+  @Test
+  void shouldPassEventsOnAsTheyComeWhenEndpointStreams() throws Exception {
+    ScriptedEndpoint endpoint =
+        ScriptedEndpoint.start(
+            (request, caller) -> {
+              ScriptedEndpoint.write(caller, STREAM_HEAD + chunk("id: 1\n\n"));
+              caller.getInputStream().read();
+            });
+    relay.endpoints("stream", endpoint);
+    try (Socket caller = relay.connect()) {
+      caller.getOutputStream().write(request("GET", "/stream/", "").getBytes());
+      byte[] received = new byte[1_000];
+      StringBuilder text = new StringBuilder();
+      while (text.indexOf("id: 1\n\n") < 0) {
+        text.append(new String(received, 0, caller.getInputStream().read(received)));
+      }
+      assertThat(text).contains("Signature: s", "chunked");
+    }
+    await(() -> endpoint.endings().equals(List.of("closed")) || !endpoint.endings().isEmpty());
+  }
+
+  @Test
+  void shouldNotLookCompleteWhenStreamThatMayNotBeResumedBreaks() throws IOException {
+    ScriptedEndpoint endpoint = ScriptedEndpoint.start(closing(STREAM_HEAD + chunk("id: 1\n\n")));
+    relay.endpoints("stream", endpoint);
+    assertThat(relay.exchange(request("GET", "/stream/", "")))
+        .contains("id: 1\n\n")
+        .doesNotContain("\r\n0\r\n")
+        .endsWith("<end>");
+  }
+
+  @Test
+  void shouldGoOnBehindTheLastWholeEventWhenResumableStreamBreaks() throws IOException {
+    ScriptedEndpoint broken =
+        ScriptedEndpoint.start(closing(STREAM_HEAD + chunk("id: 1\n\nid: 2\n\nid: 3\nda")));
+    ScriptedEndpoint other =
+        ScriptedEndpoint.start(closing(STREAM_HEAD + chunk("id: 3\n\nid: 4\n\n") + "0\r\n\r\n"));
+    relay.endpoints("resumable", broken, other);
+    String answer = relay.exchange(request("GET", "/resumable/", "Last-Event-Id: 0\r\n"));
+    assertThat(answer.replaceAll("\r\n[0-9a-f]+\r\n", ""))
+        .contains("id: 1\n\nid: 2\n\nid: 3\n\nid: 4\n\n");
+    assertThat(answer).endsWith("0\r\n\r\n");
+    assertThat(other.requests())
+        .singleElement()
+        .asString()
+        .containsIgnoringCase("Last-Event-Id: 2\r\n")
+        .doesNotContainIgnoringCase("Last-Event-Id: 0");
+  }
+
+  @Test
+  void shouldCancelAtTheEndpointWhenCallerLeavesBeforeTheAnswer() throws Exception {
+    ScriptedEndpoint endpoint = ScriptedEndpoint.start((request, caller) -> {});
+    relay.endpoints("unsafe", endpoint);
+    try (Socket caller = relay.connect()) {
+      caller.getOutputStream().write(request("POST", "/unsafe/", "").getBytes());
+      await(() -> endpoint.requests().size() == 1);
+    }
+    await(() -> !endpoint.endings().isEmpty());
+    assertThat(endpoint.endings()).containsAnyOf("closed", "broken");
+  }
+
+  @Test
+  void shouldGiveUpAtOnceWhenTheCallersTimeIsOver() throws IOException {
+    ScriptedEndpoint endpoint = ScriptedEndpoint.start((request, caller) -> {});
+    relay.endpoints("unsafe", endpoint);
+    long begin = System.nanoTime();
+    assertThat(relay.exchange(request("POST", "/unsafe/", "Left-Ms: 300\r\n")))
+        .startsWith("HTTP/1.1 504");
+    assertThat(Duration.ofNanos(System.nanoTime() - begin)).isLessThan(SOON);
+  }
+
+  @Test
+  void shouldPromiseNotRunWhenTheInstanceIsAboutToEnd() throws IOException {
+    relay.endpoints("safe", ScriptedEndpoint.start(signed("x")));
+    relay.refuseNew();
+    assertThat(relay.exchange(request("GET", "/safe/", "")))
+        .startsWith("HTTP/1.1 503")
+        .contains("Retry-After: 0.050");
+  }
+
+  @Test
+  void shouldServeFurtherRequestsWhenConnectionIsKept() throws IOException {
+    relay.endpoints("safe", ScriptedEndpoint.start(signed("x")));
+    try (Socket caller = relay.connect()) {
+      for (int round = 0; round < 3; round++) {
+        caller.getOutputStream().write(request("GET", "/safe/", "").getBytes());
+        assertThat(RelayFixture.read(caller, "\r\n\r\n")).startsWith("HTTP/1.1 200").endsWith("x");
+      }
+    }
+  }
+
+  private static final String STREAM_HEAD =
+      "HTTP/1.1 200 OK\r\nCall-Id: c-1\r\nSignature: s\r\nContent-Type: text/event-stream\r\n"
+          + "Transfer-Encoding: chunked\r\n\r\n";
+
+  private static String chunk(String text) {
+    return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+  }
+
+  private static String request(String method, String path, String headers) {
+    return method
+        + " "
+        + path
+        + " HTTP/1.1\r\nHost: desk.example\r\nKey: key-1\r\nCall-Id: c-1\r\n"
+        + headers
+        + "\r\n";
+  }
+
+  private static ScriptedEndpoint.Script signed(String body) {
+    return closing(
+        "HTTP/1.1 200 OK\r\nCall-Id: c-1\r\nSignature: s\r\nLoad: 1,0,4\r\nContent-Length: "
+            + body.length()
+            + "\r\n\r\n"
+            + body);
+  }
+
+  private static ScriptedEndpoint.Script closing(String bytes) {
+    return (request, caller) -> {
+      ScriptedEndpoint.write(caller, bytes);
+      caller.close();
+    };
+  }
+
+  private static void await(java.util.function.BooleanSupplier condition)
+      throws InterruptedException {
+    long end = System.nanoTime() + SOON.toNanos();
+    while (!condition.getAsBoolean()) {
+      assertThat(System.nanoTime()).as("not within " + SOON).isLessThan(end);
+      java.util.concurrent.locks.LockSupport.parkNanos(10_000_000);
+    }
+  }
+}
--- /dev/null
+++ b/snipewick/src/test/java/org/snipewick/roster/EndpointRosterTest.java
@@ -0,0 +1,78 @@
+package org.snipewick.roster;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.Collection;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.snipewick.event.EventLog;
+import org.snipewick.identity.EndpointId;
+import org.snipewick.identity.FailureDomain;
+import org.snipewick.identity.PoolName;
+import org.snipewick.time.VirtualTimerService;
+
+class EndpointRosterTest {
+  private final VirtualTimerService timer = VirtualTimerService.of(0);
+  private Collection<RosterEndpoint> latest = List.of();
+  private final EndpointRoster roster =
+      EndpointRoster.of(timer, EventLog.none(), endpoints -> latest = endpoints);
+
+  @Test
+  void shouldDropEndpointAtOnceWhenListIsReadable() {
+    roster.replaceAll(List.of(endpoint("a"), endpoint("b")));
+    roster.change(List.of(), List.of(EndpointId.of("a")));
+    assertThat(latest).extracting(each -> each.id().value()).containsExactly("b");
+  }
+
+  @Test
+  void shouldKeepEndpointWhenItsEntryLapsedInAnOutageAndComesBack() {
+    roster.replaceAll(List.of(endpoint("a"), endpoint("b")));
+    roster.listLost();
+    roster.listRegained();
+    roster.replaceAll(List.of(endpoint("b")));
+    assertThat(latest).hasSize(2);
+    timer.advance(Duration.ofMillis(1_500));
+    roster.change(List.of(endpoint("a")), List.of());
+    timer.advance(Duration.ofSeconds(5));
+    assertThat(latest).hasSize(2);
+  }
+
+  @Test
+  void shouldDropEndpointWhenItIsStillMissingAfterTheGrace() {
+    roster.replaceAll(List.of(endpoint("a"), endpoint("b")));
+    roster.listLost();
+    roster.listRegained();
+    roster.change(List.of(), List.of(EndpointId.of("a")));
+    timer.advance(EndpointRoster.LAPSE_GRACE.minusMillis(1));
+    assertThat(latest).hasSize(2);
+    timer.advance(Duration.ofMillis(1));
+    assertThat(latest).extracting(each -> each.id().value()).containsExactly("b");
+  }
+
+  @Test
+  void shouldKeepLapsedEndpointsWhenTheListIsLostAgainDuringTheGrace() {
+    roster.replaceAll(List.of(endpoint("a")));
+    roster.listLost();
+    roster.listRegained();
+    roster.replaceAll(List.of());
+    roster.listLost();
+    timer.advance(Duration.ofSeconds(10));
+    assertThat(latest).hasSize(1);
+    roster.listRegained();
+    timer.advance(EndpointRoster.LAPSE_GRACE);
+    assertThat(latest).isEmpty();
+  }
+
+  private static RosterEndpoint endpoint(String id) {
+    return new RosterEndpoint(
+        EndpointId.of(id),
+        1,
+        PoolName.of("planner"),
+        FailureDomain.of("linz"),
+        "127.0.0.1",
+        1,
+        4,
+        false);
+  }
+}
--- /dev/null
+++ b/snipewick/src/test/java/org/snipewick/store/TableMirrorTest.java
@@ -0,0 +1,151 @@
+package org.snipewick.store;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+import org.snipewick.event.EventLog;
+import org.snipewick.failure.Failure;
+import org.snipewick.failure.FailureType;
+import org.snipewick.time.Moment;
+import org.snipewick.time.VirtualTimerService;
+
+class TableMirrorTest {
+  private final VirtualTimerService timer = VirtualTimerService.of(0);
+  private final ScriptedReader reader = new ScriptedReader();
+  private final RecordingListener listener = new RecordingListener();
+
+  @Test
+  void shouldReadAllPagesAndFollowFromTheFirstWhenTableIsLong() {
+    start();
+    reader.pages.remove().complete(new RowPage(List.of(row("a", 4)), 10, true));
+    reader.pages.remove().complete(new RowPage(List.of(row("b", 11)), 12, false));
+    assertThat(listener.seen).containsExactly("rows a b");
+    assertThat(reader.asked).containsExactly("read ", "read a", "changes 10");
+  }
+
+  @Test
+  void shouldContinueFromTheToldVersionWhenChangesCome() {
+    start();
+    reader.pages.remove().complete(new RowPage(List.of(), 10, false));
+    reader.changes.remove().complete(told(14, "a"));
+    reader.changes.remove().complete(told(14));
+    assertThat(listener.seen).containsExactly("rows", "changes a", "changes");
+    assertThat(reader.asked).endsWith("changes 10", "changes 14", "changes 14");
+  }
+
+  @Test
+  void shouldReadAllAgainWhenHistoryIsForgotten() {
+    start();
+    reader.pages.remove().complete(new RowPage(List.of(), 10, false));
+    reader.changes.remove().complete(new RowChanges.Forgotten("too old"));
+    reader.pages.remove().complete(new RowPage(List.of(row("z", 20)), 21, false));
+    assertThat(listener.seen).containsExactly("rows", "rows z");
+    assertThat(reader.asked).endsWith("changes 21");
+  }
+
+  @Test
+  void shouldTellLossOnceAndReturnWhenCallsFailForSomeTime() {
+    start();
+    reader.pages.remove().complete(new RowPage(List.of(), 10, false));
+    for (int failure = 0; failure < 3; failure++) {
+      reader.changes.remove().completeExceptionally(unavailable());
+      timer.advance(Duration.ofMillis(500));
+    }
+    reader.changes.remove().complete(told(11));
+    assertThat(listener.seen).containsExactly("rows", "lost", "regained", "changes");
+  }
+
+  @Test
+  void shouldProveWithTheTimeOfSendingWhenAnswerIsLate() {
+    start();
+    reader.pages.remove().complete(new RowPage(List.of(), 10, false));
+    timer.advance(Duration.ofSeconds(2));
+    reader.changes.remove().complete(told(10));
+    assertThat(listener.provenAt.since(new Moment(0, 0))).isEqualTo(Duration.ZERO);
+  }
+
+  private void start() {
+    TableMirror.start(
+        reader,
+        "endpoints",
+        Duration.ofSeconds(2),
+        timer,
+        EventLog.none(),
+        new SplittableRandom(1),
+        listener);
+  }
+
+  private static TableRow row(String key, long version) {
+    return new TableRow("", key, key.getBytes(UTF_8), version);
+  }
+
+  private static RowChanges told(long version, String... keys) {
+    return new RowChanges.Told(
+        List.of(keys).stream().map(key -> row(key, version)).toList(), List.of(), version);
+  }
+
+  private static RuntimeException unavailable() {
+    return Failure.unknown(FailureType.PLATFORM_UNAVAILABLE, "no answer").toException();
+  }
+
+  private static final class ScriptedReader implements TableReader {
+    private final List<String> asked = new ArrayList<>();
+    private final Deque<CompletableFuture<RowPage>> pages = new ArrayDeque<>();
+    private final Deque<CompletableFuture<RowChanges>> changes = new ArrayDeque<>();
+
+    @Override
+    public CompletableFuture<RowPage> read(String table, Optional<String> after) {
+      asked.add("read " + after.orElse(""));
+      pages.add(new CompletableFuture<>());
+      return pages.getLast();
+    }
+
+    @Override
+    public CompletableFuture<RowChanges> changes(String table, long version, Duration wait) {
+      asked.add("changes " + version);
+      changes.add(new CompletableFuture<>());
+      return changes.getLast();
+    }
+  }
+
+  private static final class RecordingListener implements MirrorListener {
+    private final List<String> seen = new ArrayList<>();
+    private Moment provenAt;
+
+    @Override
+    public void onRows(List<TableRow> rows, Moment proven) {
+      seen.add(text("rows", rows));
+    }
+
+    @Override
+    public void onChanges(RowChanges.Told changes, Moment proven) {
+      seen.add(text("changes", changes.written()));
+      provenAt = proven;
+    }
+
+    @Override
+    public void onLost() {
+      seen.add("lost");
+    }
+
+    @Override
+    public void onRegained() {
+      seen.add("regained");
+    }
+
+    private static String text(String what, List<TableRow> rows) {
+      StringBuilder text = new StringBuilder(what);
+      rows.forEach(row -> text.append(' ').append(row.key()));
+      return text.toString();
+    }
+  }
+}
--- /dev/null
+++ b/snipewick/src/test/java/org/snipewick/time/MomentTest.java
@@ -0,0 +1,27 @@
+package org.snipewick.time;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import org.junit.jupiter.api.Test;
+
+class MomentTest {
+  private static final Moment START = new Moment(5_000_000_000L, 1_000_000L);
+
+  @Test
+  void shouldCountSuspensionWhenMonotonicClockStoodStill() {
+    Moment woken = new Moment(START.nanos(), START.epochMillis() + 7_000);
+    assertThat(woken.since(START)).isEqualTo(Duration.ofSeconds(7));
+  }
+
+  @Test
+  void shouldUseMonotonicClockWhenWallClockWasSetBack() {
+    Moment later = new Moment(START.nanos() + 3_000_000_000L, START.epochMillis() - 60_000);
+    assertThat(later.since(START)).isEqualTo(Duration.ofSeconds(3));
+  }
+
+  @Test
+  void shouldLieEarlierOnBothClocksWhenReduced() {
+    assertThat(START.since(START.minus(Duration.ofMillis(40)))).isEqualTo(Duration.ofMillis(40));
+  }
+}
--- a/systemtests/src/test/java/org/snipewick/systemtests/DomainCutTest.java
+++ b/systemtests/src/test/java/org/snipewick/systemtests/DomainCutTest.java
@@ -54,6 +54,9 @@
         EntryProcess.start(
             ((SettingsResult.Valid) settings).settings(),
             network -> new CuttableNetwork(network, Cluster.domain(name), cut)));
+    cluster
+        .processes()
+        .addInThisProcess(name, () -> cluster.admin(name, "/admin/timeline").toString());
   }
 
   private void restart(String name) {
