Refuse what cannot begin in time; serve nothing behind an ambiguous request

After restarts of all processes quotas refused most requests, as each instance kept a whole share for the process before it. A test of the module found a third fault: what the server had read of a connection behind a refused, ambiguous request was served as a request. Change: a request waits at most half of its caller's patience (Route.patience), then it is refused with a time to come back; endpoints that are reading long prompts count as fuller; the share of an earlier process runs out evenly over the window (QuotaLedger); a connection whose request was refused as ambiguous serves nothing more.

--- a/snipewick/src/main/java/org/snipewick/fleet/FleetMessages.java
+++ b/snipewick/src/main/java/org/snipewick/fleet/FleetMessages.java
@@ -15,12 +15,13 @@
   /**
    * Tells what an instance has spent of quotas and what it has at endpoints.
    *
+   * @param uptimeMillis time since the start of the process; -1 at the first start of the system
    * @param spent amounts of quotas by team
    * @param present requests that are at endpoints now by endpoint; endpoints without any are left
    *     out
    */
   @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-  public record Report(Map<String, Spent> spent, Map<String, Integer> present)
+  public record Report(long uptimeMillis, Map<String, Spent> spent, Map<String, Integer> present)
       implements PeerMessage {
 
     /** Copies the maps. */
--- a/snipewick/src/main/java/org/snipewick/placement/EndpointLoad.java
+++ b/snipewick/src/main/java/org/snipewick/placement/EndpointLoad.java
@@ -30,6 +30,7 @@
   private RosterEndpoint endpoint;
   private int slots;
   private int own;
+  private long ownTokens;
   private int others;
   private int told;
   private boolean isToldByAll;
@@ -107,8 +108,19 @@
     return !endpoint.isLeaving() && !(isPaused && nowNanos - pausedUntilNanos < 0);
   }
 
-  void begin() {
+  void begin(long promptTokens) {
     own++;
+    ownTokens += promptTokens;
+  }
+
+  /** Takes that the prompt of an own request has been read, or is read no longer. */
+  void promptRead(long promptTokens) {
+    ownTokens = Math.max(0, ownTokens - promptTokens);
+  }
+
+  /** Returns the tokens of own requests whose answers have not begun. */
+  long tokensInReading() {
+    return ownTokens;
   }
 
   /** Takes the load that came with the beginning of an answer to an own request. */
--- a/snipewick/src/main/java/org/snipewick/placement/PoolPlacement.java
+++ b/snipewick/src/main/java/org/snipewick/placement/PoolPlacement.java
@@ -25,8 +25,11 @@
  * several threads.
  */
 public final class PoolPlacement {
-  /** A quarter of what is left is kept for the work itself. */
-  private static final double USABLE_SHARE_OF_TIME_LEFT = 0.75;
+  /** Half of the time is kept for the endpoint's own queue and the prompt. */
+  private static final double USABLE_SHARE_OF_TIME_LEFT = 0.5;
+
+  /** Prompts that are being read hold up an endpoint like a full set of places. */
+  private static final double TOKENS_LIKE_ALL_PLACES = 20_000;
 
   private static final Duration MIN_RETRY_AFTER = Duration.ofMillis(200);
   private static final Duration MAX_RETRY_AFTER = Duration.ofSeconds(5);
@@ -135,7 +138,7 @@
         return Optional.of(placed(request, free.get(), nowNanos));
       }
     }
-    if (request.deadlineNanos() - nowNanos <= 0) {
+    if (nowNanos - request.arrivedNanos() > usableNanos(request, request.arrivedNanos())) {
       return Optional.of(refused(request, PlacementDecision.Reason.WAITED_TOO_LONG, ahead));
     }
     if (expectedWaitNanos(ahead + 1) > usableNanos(request, nowNanos)) {
@@ -167,7 +170,8 @@
   private double cost(EndpointLoad load, double meanPace, long nowNanos) {
     double slowness = load.pace().orElse(meanPace) / meanPace;
     double occupancy = (load.present(nowNanos) + 1.0) / load.slots();
-    return slowness * occupancy * (isForeign(load) ? FOREIGN_FACTOR : 1);
+    double reading = load.tokensInReading() / TOKENS_LIKE_ALL_PLACES;
+    return slowness * (occupancy + reading) * (isForeign(load) ? FOREIGN_FACTOR : 1);
   }
 
   private double meanPace() {
@@ -183,7 +187,7 @@
 
   private PlacementDecision placed(WaitingRequest request, EndpointLoad load, long nowNanos) {
     int present = load.present(nowNanos);
-    load.begin();
+    load.begin(request.promptTokens());
     return new PlacementDecision.Placed(request, load.endpoint(), present, waiting.size() - 1);
   }
 
@@ -193,7 +197,7 @@
   }
 
   private long usableNanos(WaitingRequest request, long nowNanos) {
-    return (long) ((request.deadlineNanos() - nowNanos) * USABLE_SHARE_OF_TIME_LEFT);
+    return (long) ((request.lastStartNanos() - nowNanos) * USABLE_SHARE_OF_TIME_LEFT);
   }
 
   /** Expects that as many places become free as own requests end, each after the mean time. */
@@ -243,6 +247,19 @@
     }
   }
 
+  /**
+   * Notes that an endpoint has read a prompt, or reads it no longer.
+   *
+   * @param endpoint endpoint
+   * @param promptTokens tokens of the prompt
+   */
+  public void promptRead(EndpointId endpoint, long promptTokens) {
+    EndpointLoad known = endpoints.get(endpoint);
+    if (known != null) {
+      known.promptRead(promptTokens);
+    }
+  }
+
   /**
    * Takes how long a unit of an answer took.
    *
--- a/snipewick/src/main/java/org/snipewick/placement/WaitingRequest.java
+++ b/snipewick/src/main/java/org/snipewick/placement/WaitingRequest.java
@@ -13,7 +13,8 @@
  * @param tier class
  * @param arrivedNanos monotonic time of its arrival
  * @param targetNanos monotonic time until which its first answer is on time
- * @param deadlineNanos monotonic time at which its caller stops waiting
+ * @param lastStartNanos monotonic time after which an answer would begin too late for its caller
+ * @param promptTokens tokens of its prompt, which an endpoint reads before the first event
  * @param tried endpoints that it was sent to before
  */
 public record WaitingRequest(
@@ -21,7 +22,8 @@
     Tier tier,
     long arrivedNanos,
     long targetNanos,
-    long deadlineNanos,
+    long lastStartNanos,
+    long promptTokens,
     Set<EndpointId> tried) {
 
   /** Checks and copies the parts. */
--- a/snipewick/src/main/java/org/snipewick/platform/PlanCodec.java
+++ b/snipewick/src/main/java/org/snipewick/platform/PlanCodec.java
@@ -55,6 +55,9 @@
         CallKind.valueOf(fields.text("kind").toUpperCase(Locale.ROOT)),
         Duration.ofMillis((long) fields.number("timeout_ms")),
         Duration.ofMillis((long) fields.number("target_latency_ms")),
+        fields.isMissing("target_gap_ms")
+            ? Optional.empty()
+            : Optional.of(Duration.ofMillis((long) fields.number("target_gap_ms"))),
         tier(fields.whole("priority", 0)),
         (int) Math.max(1, fields.whole("max_attempts", 1)),
         fields.truth("public"),
--- a/snipewick/src/main/java/org/snipewick/platform/SharedLoad.java
+++ b/snipewick/src/main/java/org/snipewick/platform/SharedLoad.java
@@ -2,8 +2,10 @@
 
 import static java.util.Objects.requireNonNull;
 
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.snipewick.fleet.Fleet;
 import org.snipewick.fleet.FleetMessages;
@@ -15,6 +17,8 @@
 
 /** Tells other instances of quotas and placement, and hands on what they tell. */
 final class SharedLoad implements Fleet.Listener {
+  private static final long FIRST_START = -1;
+
   private final QuotaLedger quotas;
   private final RelayServer relay;
 
@@ -33,7 +37,8 @@
                 spent.put(team.value(), new FleetMessages.Spent(here.total(), here.recent())));
     Map<String, Integer> present = new HashMap<>();
     relay.ownPresent().forEach((endpoint, count) -> present.put(endpoint.value(), count));
-    return new FleetMessages.Report(spent, present);
+    long uptimeMillis = quotas.uptime().map(Duration::toMillis).orElse(FIRST_START);
+    return new FleetMessages.Report(uptimeMillis, spent, present);
   }
 
   @Override
@@ -50,7 +55,11 @@
         .forEach(
             (team, told) ->
                 spent.put(TeamName.of(team), new QuotaLedger.Spent(told.total(), told.recent())));
-    quotas.report(from, spent);
+    Optional<Duration> uptime =
+        report.uptimeMillis() == FIRST_START
+            ? Optional.empty()
+            : Optional.of(Duration.ofMillis(report.uptimeMillis()));
+    quotas.report(from, uptime, spent);
     Map<EndpointId, Integer> present = new HashMap<>();
     report.present().forEach((endpoint, count) -> present.put(EndpointId.of(endpoint), count));
     relay.peerPresent(from, present);
--- a/snipewick/src/main/java/org/snipewick/quota/QuotaLedger.java
+++ b/snipewick/src/main/java/org/snipewick/quota/QuotaLedger.java
@@ -64,8 +64,9 @@
   public Optional<Duration> trySpend(TeamPlan team, double amount) {
     long now = timer.nanoTime();
     double limit = bounds.limit(team.quota());
-    Account account = account(team.name(), limit);
-    double free = limit * activeShare(now) - account.expected(now);
+    Account account = accounts.computeIfAbsent(team.name(), name -> new Account());
+    double reserved = limit / (peers.size() + 1) * startShares(now);
+    double free = limit * activeShare(now) - reserved - account.expected(now);
     if (amount <= free) {
       account.all.add(amount, now);
       account.here.add(amount, now);
@@ -93,6 +94,17 @@
     return spent;
   }
 
+  /**
+   * Returns how long this process runs.
+   *
+   * @return time since its start; empty at the first start of the whole system
+   */
+  public Optional<Duration> uptime() {
+    return mayHaveSpentBefore
+        ? Optional.of(Duration.ofNanos(timer.nanoTime() - startedNanos))
+        : Optional.empty();
+  }
+
   /**
    * Spending of a team at one instance.
    *
@@ -105,11 +117,14 @@
    * Takes what another instance has spent. A lower total than before means that it started again.
    *
    * @param instance other instance
+   * @param uptime time since the start of its process; empty at the first start of the whole system
    * @param spent spending by team
    */
-  public void report(InstanceId instance, Map<TeamName, Spent> spent) {
+  public void report(InstanceId instance, Optional<Duration> uptime, Map<TeamName, Spent> spent) {
     long now = timer.nanoTime();
     Peer peer = peers.computeIfAbsent(instance, name -> new Peer());
+    peer.mayHaveSpentBefore = uptime.isPresent();
+    peer.startedNanos = now - uptime.map(Duration::toNanos).orElse(0L);
     for (Map.Entry<TeamName, Spent> each : spent.entrySet()) {
       Double before = peer.totals.put(each.getKey(), each.getValue().total());
       double more =
@@ -133,15 +148,22 @@
     instances.forEach(instance -> peers.computeIfAbsent(instance, name -> new Peer()));
   }
 
-  private Account account(TeamName team, double limit) {
-    Account account = accounts.computeIfAbsent(team, name -> new Account());
-    if (!account.isSeeded) {
-      account.isSeeded = true;
-      if (mayHaveSpentBefore) {
-        account.all.add(limit / (peers.size() + 1), startedNanos);
+  /**
+   * Counts the even shares that processes may have spent in this window before they started. They
+   * leave the window evenly in the time of its length.
+   */
+  private double startShares(long nowNanos) {
+    double shares = mayHaveSpentBefore ? restOfWindow(nowNanos - startedNanos) : 0;
+    for (Peer peer : peers.values()) {
+      if (!peer.isSilent(nowNanos) && peer.mayHaveSpentBefore) {
+        shares += restOfWindow(nowNanos - peer.startedNanos);
       }
     }
-    return account;
+    return shares;
+  }
+
+  private double restOfWindow(long uptimeNanos) {
+    return Math.max(0, 1 - (double) uptimeNanos / bounds.window().toNanos());
   }
 
   /** Returns the share of a limit that is not kept for silent instances. */
@@ -162,6 +184,8 @@
   private static final class Peer {
     private final Map<TeamName, Double> totals = new HashMap<>();
     private long heardNanos = Long.MIN_VALUE;
+    private long startedNanos;
+    private boolean mayHaveSpentBefore;
 
     boolean isSilent(long nowNanos) {
       return heardNanos == Long.MIN_VALUE || nowNanos - heardNanos > SILENCE.toNanos();
@@ -174,7 +198,6 @@
     private final SpendingWindow here = new SpendingWindow(bounds.window().toNanos());
     private final SpendingWindow lately = new SpendingWindow(SILENCE.toNanos());
     private double spentHere;
-    private boolean isSeeded;
 
     /** Returns what is spent in the window, with what others have probably spent meanwhile. */
     double expected(long nowNanos) {
--- a/snipewick/src/main/java/org/snipewick/relay/RelayAttempt.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayAttempt.java
@@ -12,13 +12,17 @@
 final class RelayAttempt {
   private final RosterEndpoint endpoint;
   private final PoolPlacement placement;
+  private final long promptTokens;
   private final long placedNanos;
   private final Exchange exchange = Exchange.of();
+  private boolean isPromptRead;
   private boolean hasEnded;
 
-  RelayAttempt(RosterEndpoint endpoint, PoolPlacement placement, long placedNanos) {
+  RelayAttempt(
+      RosterEndpoint endpoint, PoolPlacement placement, long promptTokens, long placedNanos) {
     this.endpoint = requireNonNull(endpoint, "endpoint");
     this.placement = requireNonNull(placement, "placement");
+    this.promptTokens = promptTokens;
     this.placedNanos = placedNanos;
   }
 
@@ -30,10 +34,19 @@
     return exchange;
   }
 
+  /** Notes that the endpoint has read the prompt, as its answer has begun. */
+  void promptRead() {
+    if (!isPromptRead) {
+      isPromptRead = true;
+      placement.promptRead(endpoint.id(), promptTokens);
+    }
+  }
+
   /** Gives the place back; later calls have no effect. */
   void end(Ended how, long nowNanos) {
     if (!hasEnded) {
       hasEnded = true;
+      promptRead();
       placement.end(endpoint.id(), how, placedNanos, nowNanos);
     }
   }
--- a/snipewick/src/main/java/org/snipewick/relay/RelayCall.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayCall.java
@@ -85,6 +85,12 @@
     return request.receivedNanos() + route.targetLatency().toNanos();
   }
 
+  /** Returns the monotonic time after which its caller no longer waits for a beginning. */
+  long lastStartNanos() {
+    long patience = route.patience().toNanos();
+    return Math.min(deadlineNanos(), request.receivedNanos() + patience);
+  }
+
   void setDeadline(TimerService.Subscription timer) {
     deadline = requireNonNull(timer, "timer");
   }
--- a/snipewick/src/main/java/org/snipewick/relay/RelayDispatcher.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayDispatcher.java
@@ -134,7 +134,8 @@
                 call.tier(),
                 call.request().receivedNanos(),
                 call.targetNanos(),
-                call.deadlineNanos(),
+                call.lastStartNanos(),
+                call.request().promptTokens(),
                 call.tried()));
     decide(call.pool());
   }
@@ -184,7 +185,9 @@
   }
 
   private void send(RelayCall call, PlacementDecision.Placed placed) {
-    RelayAttempt attempt = new RelayAttempt(placed.endpoint(), pool(call.pool()), now());
+    RelayAttempt attempt =
+        new RelayAttempt(
+            placed.endpoint(), pool(call.pool()), call.request().promptTokens(), now());
     if (call.team().isPresent() && !services.plans().isProven()) {
       attempt.end(Ended.CANCELLED, now());
       fail(call, call.orUnknown(KeyFilter.notProven(services.plans())));
@@ -266,6 +269,7 @@
               } else if (thrown != null) {
                 broke(call, attempt, thrown.toString());
               } else {
+                attempt.promptRead();
                 ChannelSupplier<ByteBuf> all =
                     first == null ? body : ChannelSuppliers.concat(ChannelSupplier.of(first), body);
                 begin(call, attempt, head, all);
--- a/snipewick/src/main/java/org/snipewick/relay/RelayRequest.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayRequest.java
@@ -18,6 +18,7 @@
  * @param receivedNanos monotonic time at which its head had arrived
  * @param timeLeftNanos how long the caller waits from then on; empty if it does not say
  * @param tokens prompt and output tokens that it announces, 0 if it announces none
+ * @param promptTokens prompt tokens among them
  */
 @SuppressWarnings("ArrayRecordComponent") // The body is handed on once and never changed.
 record RelayRequest(
@@ -29,7 +30,8 @@
     byte[] body,
     long receivedNanos,
     Optional<Long> timeLeftNanos,
-    long tokens) {
+    long tokens,
+    long promptTokens) {
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
   RelayRequest {
@@ -62,7 +64,11 @@
             .first(names.timeLeftMillis())
             .flatMap(RelayRequest::number)
             .map(millis -> millis * NANOS_PER_MILLI),
-        headers.first(names.tokens()).map(RelayRequest::sum).orElse(0L));
+        headers.first(names.tokens()).map(RelayRequest::sum).orElse(0L),
+        headers
+            .first(names.tokens())
+            .flatMap(tokens -> number(tokens.split(",", 2)[0]))
+            .orElse(0L));
   }
 
   String host() {
--- a/snipewick/src/main/java/org/snipewick/relay/RelayServlet.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayServlet.java
@@ -9,6 +9,7 @@
 import io.activej.http.HttpResponse;
 import io.activej.http.HttpServerConnection;
 import io.activej.promise.Promise;
+import io.activej.promise.Promises;
 import java.time.Duration;
 import java.util.Optional;
 import org.snipewick.failure.Failure;
@@ -24,6 +25,9 @@
   /** Another instance can take the request at once. */
   private static final Duration RETRY_ELSEWHERE = Duration.ofMillis(50);
 
+  /** Ample for the earlier response to be written, which the event loop does in its next turn. */
+  private static final Duration WRITE_TIME = Duration.ofMillis(20);
+
   private final RelayServices services;
   private final RelayDispatcher dispatcher;
   private final CallerConnections connections;
@@ -54,6 +58,12 @@
 
   @Override
   public Promise<HttpResponse> serve(HttpRequest received) {
+    HttpServerConnection connection = received.getConnection();
+    if (connections.isEnding(connection)) {
+      return Promises.delay(WRITE_TIME)
+          .whenResult(() -> connections.close(connection))
+          .map(written -> refuse("", malformed("connection has ended")));
+    }
     long receivedNanos = services.timer().nanoTime();
     Headers headers = RelayResponses.headersOf(received);
     Optional<String> fault = fault(received, headers);
--- a/snipewick/src/main/java/org/snipewick/route/Route.java
+++ b/snipewick/src/main/java/org/snipewick/route/Route.java
@@ -3,8 +3,10 @@
 import static java.util.Objects.requireNonNull;
 
 import java.time.Duration;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.Stream;
 import org.snipewick.identity.PoolName;
 import org.snipewick.identity.Tier;
 
@@ -17,6 +19,7 @@
  * @param kind what may be repeated
  * @param timeout longest time that a caller is kept waiting for the whole answer
  * @param targetLatency time to the answer, or to the first event, that callers expect
+ * @param targetGap longest pause between events that callers expect; empty if no stream
  * @param tier class of the requests where the team does not set one
  * @param maxAttempts most endpoints that one request may be sent to, at least 1
  * @param isPublic whether requests need no key
@@ -30,11 +33,15 @@
     CallKind kind,
     Duration timeout,
     Duration targetLatency,
+    Optional<Duration> targetGap,
     Tier tier,
     int maxAttempts,
     boolean isPublic,
     boolean isResumable,
     List<WeightedPool> pools) {
+  private static final Duration MIN_PATIENCE = Duration.ofSeconds(2);
+  private static final int LATENCIES_OF_PATIENCE = 4;
+  private static final int GAPS_OF_PATIENCE = 8;
 
   /** Checks and copies the parts. */
   public Route {
@@ -44,6 +51,7 @@
     requireNonNull(kind, "kind");
     requireNonNull(timeout, "timeout");
     requireNonNull(targetLatency, "targetLatency");
+    requireNonNull(targetGap, "targetGap");
     requireNonNull(tier, "tier");
     pools = List.copyOf(pools);
     if (!prefix.startsWith("/") || !prefix.endsWith("/")) {
@@ -63,6 +71,25 @@
     return kind == CallKind.SAFE || (kind == CallKind.STREAM && isResumable);
   }
 
+  /**
+   * Returns how long callers wait for the beginning of an answer. A stream is given up after a
+   * silence of two seconds, four times the target latency or eight times the target gap, whichever
+   * is longest; other requests only at the end of their time.
+   *
+   * @return longest useful time to the beginning of an answer
+   */
+  public Duration patience() {
+    if (kind != CallKind.STREAM) {
+      return timeout;
+    }
+    Duration byLatency = targetLatency.multipliedBy(LATENCIES_OF_PATIENCE);
+    Duration byGap = targetGap.orElse(Duration.ZERO).multipliedBy(GAPS_OF_PATIENCE);
+    return Stream.of(MIN_PATIENCE, byLatency, byGap)
+        .max(Comparator.naturalOrder())
+        .filter(patience -> patience.compareTo(timeout) < 0)
+        .orElse(timeout);
+  }
+
   /**
    * Chooses the pool of a request.
    *
--- a/snipewick/src/main/java/org/snipewick/transport/CallerConnections.java
+++ b/snipewick/src/main/java/org/snipewick/transport/CallerConnections.java
@@ -128,17 +128,42 @@
   }
 
   /**
-   * Lets a connection end after the response that is being written.
+   * Lets a connection end after the response that is being written. What the server has read of it
+   * already may look like a further request, which must not be served.
    *
    * @param connection connection
    */
   public void closeAfterResponse(HttpServerConnection connection) {
     Connection known = connections.get(connection);
     if (known != null) {
+      known.isEnding = true;
       known.shutdownInput();
     }
   }
 
+  /**
+   * Tells whether a connection was to end after an earlier response.
+   *
+   * @param connection connection on which a request has been read
+   * @return whether the request must not be served
+   */
+  public boolean isEnding(HttpServerConnection connection) {
+    Connection known = connections.get(connection);
+    return known != null && known.isEnding;
+  }
+
+  /**
+   * Closes a connection.
+   *
+   * @param connection connection
+   */
+  public void close(HttpServerConnection connection) {
+    Connection known = connections.get(connection);
+    if (known != null) {
+      known.close();
+    }
+  }
+
   /**
    * Tells whether there are no connections; on any thread.
    *
@@ -260,6 +285,7 @@
     private long idleSinceNanos;
     private boolean hasServed;
     private boolean inputClosed;
+    private boolean isEnding;
 
     Connection(SocketChannel channel) {
       this.channel = channel;
--- a/snipewick/src/test/java/org/snipewick/route/Plans.java
+++ b/snipewick/src/test/java/org/snipewick/route/Plans.java
@@ -48,6 +48,7 @@
         kind,
         Duration.ofSeconds(5),
         Duration.ofMillis(300),
+        kind == CallKind.STREAM ? Optional.of(Duration.ofMillis(400)) : Optional.empty(),
         Tier.TWO,
         maxAttempts,
         false,
--- a/snipewick/src/test/java/org/snipewick/route/RouteTest.java
+++ b/snipewick/src/test/java/org/snipewick/route/RouteTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatIllegalArgumentException;
 
+import java.time.Duration;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.snipewick.identity.PoolName;
@@ -35,6 +36,13 @@
     assertThat(Plans.route("r", "/r/", CallKind.STREAM, 2, true).isIdempotent()).isTrue();
   }
 
+  @Test
+  void shouldWaitForFirstEventNoLongerThanCallersDoWhenAnswerIsStreamed() {
+    assertThat(Plans.route("r", "/r/", CallKind.STREAM, 1, false).patience())
+        .isEqualTo(Duration.ofMillis(3_200));
+    assertThat(Plans.route("r", "/r/").patience()).isEqualTo(Duration.ofSeconds(5));
+  }
+
   @Test
   void shouldBeRejectedWhenPrefixHasNoSlashAtItsEnd() {
     assertThatIllegalArgumentException().isThrownBy(() -> Plans.route("r", "/r"));
@@ -49,6 +57,7 @@
         single.kind(),
         single.timeout(),
         single.targetLatency(),
+        single.targetGap(),
         single.tier(),
         single.maxAttempts(),
         single.isPublic(),
