Keep running on SIGHUP; tell why a request is sent again

A line was missing where a request goes to another endpoint, so the cause of a first failed attempt could not be read from the logs, and a stream that broke off had no failure type.

--- a/snipewick/src/main/java/org/snipewick/event/EventType.java
+++ b/snipewick/src/main/java/org/snipewick/event/EventType.java
@@ -17,6 +17,8 @@
   PROCESS_STOPPED(102, Level.INFO, "process stopped"),
   /** Lines of the log were left out: the budget was spent, or the reader too slow. */
   LOG_LINES_DROPPED(103, Level.WARNING, "log lines dropped"),
+  /** The settings file was read again because a signal told that it has changed. */
+  SETTINGS_RELOADED(104, Level.INFO, "settings reloaded"),
   /** A request was accepted from a caller. */
   REQUEST_RECEIVED(200, Level.FINE, "request received"),
   /** A key was claimed. */
@@ -47,6 +49,8 @@
   REQUEST_QUEUED(213, Level.FINE, "request queued"),
   /** A scheduler granted, refused or cancelled a request, with what it knew. */
   SCHEDULER_DECIDED(214, Level.INFO, "scheduler decided"),
+  /** A request is sent to another endpoint, as an attempt failed or was rejected. */
+  REQUEST_REPEATED(215, Level.INFO, "request sent again"),
   /** A catalogue change was accepted by the platform. */
   CATALOGUE_ACCEPTED(300, Level.INFO, "catalogue change accepted"),
   /** A catalogue version came into force on this instance. */
--- a/snipewick/src/main/java/org/snipewick/platform/FrontProcess.java
+++ b/snipewick/src/main/java/org/snipewick/platform/FrontProcess.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
@@ -15,6 +16,7 @@
 import org.snipewick.event.LogFormat;
 import org.snipewick.event.Timeline;
 import org.snipewick.failure.Failure;
+import org.snipewick.failure.FailureException;
 import org.snipewick.failure.FailureType;
 import org.snipewick.fleet.Fleet;
 import org.snipewick.fleet.FleetMember;
@@ -37,6 +39,7 @@
 import org.snipewick.time.TimerService;
 import org.snipewick.transport.EventloopTimerService;
 import org.snipewick.transport.HttpTransport;
+import sun.misc.Signal;
 
 /** Process of an instance on the users' platform; all of its work is done on one event loop. */
 public final class FrontProcess {
@@ -104,6 +107,8 @@
     try {
       FrontProcess process = new FrontProcess(settings);
       Runtime.getRuntime().addShutdownHook(new Thread(process::stopAndWait, "planned-stop"));
+      Signal.handle(
+          new Signal("HUP"), signal -> process.eventloop.execute(() -> process.reload(file)));
       process.events.record(EventType.PROCESS_STARTED, "");
       process.eventloop.run();
     } catch (IOException failure) {
@@ -165,6 +170,19 @@
     return !stopping && plans.isProven() && relay.hasEndpoints();
   }
 
+  /**
+   * Reads the settings file again. Without this handler the signal would end the process; what has
+   * changed takes effect at the next start, as addresses and bounds are fixed for a process's life.
+   */
+  private void reload(Path file) {
+    try {
+      boolean isChanged = !NodeSettings.read(file).equals(settings);
+      events.record(EventType.SETTINGS_RELOADED, "", Map.of("isChanged", isChanged));
+    } catch (FailureException failure) {
+      events.record(EventType.SETTINGS_RELOADED, "", Map.of("detail", failure.failure().detail()));
+    }
+  }
+
   /** Runs in the hook that a signal to stop starts; the event loop goes on meanwhile. */
   private void stopAndWait() {
     eventloop.execute(this::beginStop);
--- a/snipewick/src/main/java/org/snipewick/platform/StoreClient.java
+++ b/snipewick/src/main/java/org/snipewick/platform/StoreClient.java
@@ -37,7 +37,6 @@
   private static final int MAX_ANSWER_BYTES = 8 * 1024 * 1024;
   private static final int OK = 200;
   private static final int GONE = 410;
-  private static final int CONDITION_FAILED = 412;
   private static final ObjectMapper JSON = new ObjectMapper();
 
   private final HttpTransport transport;
@@ -82,21 +81,6 @@
     return transact(body).thenApply(answer -> json(answer).path("ver").asLong());
   }
 
-  @Override
-  public CompletableFuture<Void> remove(String table, String key, long version) {
-    ObjectNode body = JSON.createObjectNode();
-    body.putArray("expected_rev").add(rowName(table, key).put("ver", version));
-    body.putArray("writes");
-    body.putArray("remove").add(rowName(table, key));
-    return transact(body)
-        .thenAccept(
-            answer -> {
-              if (answer.status() != CONDITION_FAILED) {
-                json(answer);
-              }
-            });
-  }
-
   private static ObjectNode rowName(String table, String key) {
     return JSON.createObjectNode().put("table", table).put("part", "").put("key", key);
   }
--- a/snipewick/src/main/java/org/snipewick/relay/RelayDispatcher.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayDispatcher.java
@@ -226,7 +226,7 @@
     } else if (head.isServerError() && mayRepeat(call)) {
       attempt.exchange().cancel();
       attempt.end(Ended.FAILED, now());
-      repeat(call);
+      repeat(call, attempt, "endpoint failed: " + head.status());
     } else if (call.route().kind() == CallKind.STREAM && head.status() == OK) {
       stream(call, attempt, head, response.takeBodyStream());
     } else if (call.stream().isPresent()) {
@@ -322,24 +322,26 @@
   }
 
   private Promise<ChannelSupplier<ByteBuf>> resumeElsewhere(RelayCall call, Exception thrown) {
-    call.attempt().ifPresent(attempt -> attempt.end(Ended.FAILED, now()));
-    if (call.isOver() || !mayRepeat(call)) {
+    Optional<RelayAttempt> broken = call.attempt();
+    broken.ifPresent(attempt -> attempt.end(Ended.FAILED, now()));
+    if (call.isOver() || broken.isEmpty() || !mayRepeat(call)) {
       return Promise.ofException(thrown);
     }
     SettablePromise<ChannelSupplier<ByteBuf>> resumption = new SettablePromise<>();
     call.awaitResumption(resumption);
-    repeat(call);
+    repeat(call, broken.get(), "stream broke off: " + thrown);
     return resumption;
   }
 
   private void rejected(RelayCall call, RelayAttempt attempt, EndpointHead head) {
     attempt.end(head.isMisdirected() ? Ended.MISDIRECTED : Ended.REJECTED, now());
     call.wasNotRun();
+    String detail = "endpoint did not run it: " + head.status();
     if (call.attempts() < call.route().maxAttempts() && budget(call.pool()).tryRepeat(now())) {
-      repeat(call);
+      repeat(call, attempt, detail);
     } else {
       Failure refused =
-          Failure.notRun(FailureType.ENDPOINT_REFUSED, "endpoint did not run it: " + head.status())
+          Failure.notRun(FailureType.ENDPOINT_REFUSED, detail)
               .withRetryAfter(RETRY_AFTER_REJECTION);
       fail(call, call.orUnknown(refused));
     }
@@ -354,12 +356,12 @@
     if (!attempt.exchange().mayHaveBeenSent()) {
       attempt.end(Ended.UNREACHABLE, now());
       call.wasNotSent();
-      enqueue(call);
+      repeat(call, attempt, "no connection: " + detail);
       return;
     }
     attempt.end(Ended.FAILED, now());
     if (mayRepeat(call)) {
-      repeat(call);
+      repeat(call, attempt, detail);
     } else {
       fail(call, Failure.unknown(FailureType.OUTCOME_UNKNOWN, detail));
     }
@@ -373,8 +375,8 @@
         && budget(call.pool()).tryRepeat(now());
   }
 
-  private void repeat(RelayCall call) {
-    records.repeated(call);
+  private void repeat(RelayCall call, RelayAttempt failed, String detail) {
+    records.repeated(call, failed, detail, now());
     enqueue(call);
   }
 
--- a/snipewick/src/main/java/org/snipewick/relay/RelayRecords.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayRecords.java
@@ -6,6 +6,8 @@
 import java.util.Map;
 import org.snipewick.event.EventType;
 import org.snipewick.failure.Failure;
+import org.snipewick.failure.FailureType;
+import org.snipewick.failure.Outcome;
 import org.snipewick.placement.PlacementDecision;
 
 /** Tells log and metrics what became of requests, and what was known when it was decided. */
@@ -37,8 +39,13 @@
     metrics.firstEvent(call.tier(), nowNanos - call.request().receivedNanos());
   }
 
-  void repeated(RelayCall call) {
+  void repeated(RelayCall call, RelayAttempt failed, String detail, long nowNanos) {
     metrics.repeated();
+    Map<String, Object> details = base(call, nowNanos);
+    details.put("endpoint", failed.endpoint().id().toString());
+    details.put("attempts", call.attempts());
+    details.put("detail", detail);
+    record(EventType.REQUEST_REPEATED, call, details);
   }
 
   void delivered(RelayCall call, int status, long nowNanos) {
@@ -83,7 +90,9 @@
 
   void streamBroken(RelayCall call, long nowNanos) {
     Map<String, Object> details = base(call, nowNanos);
-    details.put("detail", "stream broke off");
+    details.put("type", FailureType.ANSWER_INCOMPLETE.number());
+    details.put("outcome", Outcome.UNKNOWN.text());
+    details.put("detail", "stream broke off, or its caller stopped reading");
     call.attempt()
         .ifPresent(attempt -> details.put("endpoint", attempt.endpoint().id().toString()));
     record(EventType.REQUEST_FAILED, call, details);
--- a/snipewick/src/main/java/org/snipewick/store/TableWriter.java
+++ b/snipewick/src/main/java/org/snipewick/store/TableWriter.java
@@ -16,14 +16,4 @@
    *     or be done later if the outcome is unknown
    */
   CompletableFuture<Long> put(String table, String key, byte[] value);
-
-  /**
-   * Removes a row unless it was written again.
-   *
-   * @param table name of the table
-   * @param key key of the row in the part with an empty name
-   * @param version number of the transaction that wrote it
-   * @return completes when the row is gone or another one; fails as {@link #put} does
-   */
-  CompletableFuture<Void> remove(String table, String key, long version);
 }
--- /dev/null
+++ b/snipewick/src/test/java/org/snipewick/platform/NodeSettingsTest.java
@@ -0,0 +1,72 @@
+package org.snipewick.platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.snipewick.failure.FailureException;
+
+class NodeSettingsTest {
+  private static final String EXAMPLE =
+      """
+      node: "front-wien-a-1"
+      zone: "wien-a"
+      ip: "10.1.0.25"
+      unknown_to_us: [1, 2]
+      listen:
+        front: "10.1.0.25:8221"
+        ready: "10.1.0.25:8224"
+      port_range:
+        - 7600
+        - 7615
+      first_start: true
+      bounds:
+        grace_s: 8
+        revoke_ms: 5000
+        retry_budget_ratio: 0.2
+        budget_window_s: 10
+        budget_slack: 56
+        quota_window_s: 8
+        quota_over: 0.1
+        quota_slack: 140000
+      provider:
+        address: "10.200.1.7:8225"
+      """;
+
+  @TempDir private Path directory;
+
+  @Test
+  void shouldDecodeWhenExampleIsRead() throws IOException {
+    NodeSettings settings = read(EXAMPLE);
+    assertThat(settings.instance().value()).isEqualTo("front-wien-a-1");
+    assertThat(settings.domain().value()).isEqualTo("wien-a");
+    assertThat(settings.callers()).isEqualTo(new InetSocketAddress("10.1.0.25", 8221));
+    assertThat(settings.peers()).isEqualTo(new InetSocketAddress("10.1.0.25", 7600));
+    assertThat(settings.store()).isEqualTo(new InetSocketAddress("10.200.1.7", 8225));
+    assertThat(settings.keyRevocation()).isEqualTo(Duration.ofSeconds(5));
+    assertThat(settings.stopGrace()).isEqualTo(Duration.ofSeconds(8));
+    assertThat(settings.repeatRatio()).isEqualTo(0.2);
+    assertThat(settings.quotas().window()).isEqualTo(Duration.ofSeconds(8));
+    assertThat(settings.isFirstStart()).isTrue();
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"node", "zone", "ready", "revoke_ms", "quota_over", "address"})
+  void shouldNameTheFieldWhenItIsMissing(String field) {
+    assertThatThrownBy(() -> read(EXAMPLE.replace(field + ":", "other_" + field + ":")))
+        .isInstanceOf(FailureException.class)
+        .hasMessageContaining(field);
+  }
+
+  private NodeSettings read(String text) throws IOException {
+    return NodeSettings.read(Files.writeString(directory.resolve("node.yaml"), text));
+  }
+}
