--- a/snipewick/src/main/java/org/snipewick/cli/EntryCommand.java
+++ b/snipewick/src/main/java/org/snipewick/cli/EntryCommand.java
@@ -4,6 +4,7 @@
 import com.beust.jcommander.Parameters;
 import java.nio.file.Path;
 import org.snipewick.entry.EntryProcess;
+import org.snipewick.platform.UsersPlatform;
 import org.snipewick.settings.SettingsReader;
 import org.snipewick.settings.SettingsResult;
 
@@ -20,7 +21,8 @@
       console.err().print(invalid.describe());
       return ExitCode.REFUSED;
     }
-    EntryProcess process = EntryProcess.start(((SettingsResult.Valid) result).settings());
+    EntryProcess process =
+        EntryProcess.start(((SettingsResult.Valid) result).settings(), UsersPlatform.of());
     console.out().println("ready entry " + process.callersAddress());
     process.awaitStopped();
     return ExitCode.SUCCESS;
--- a/snipewick/src/main/java/org/snipewick/entry/EntryProcess.java
+++ b/snipewick/src/main/java/org/snipewick/entry/EntryProcess.java
@@ -28,6 +28,7 @@
 import org.snipewick.request.http.CallerServer;
 import org.snipewick.request.http.CallerServerSettings;
 import org.snipewick.settings.Settings;
+import org.snipewick.store.access.StoreAdapter;
 import org.snipewick.time.TimerService;
 
 /** Running process of an entry instance. */
@@ -68,26 +69,30 @@
    * Starts all parts.
    *
    * @param settings checked settings
+   * @param adapter adapter to the platform
    * @return running process; fails with {@link FailureType#SETTINGS_INVALID} if an address cannot
    *     be bound
    */
-  public static EntryProcess start(Settings settings) {
-    return start(settings, UnaryOperator.identity());
+  public static EntryProcess start(Settings settings, StoreAdapter adapter) {
+    return start(settings, adapter, UnaryOperator.identity());
   }
 
   /**
    * Starts all parts on a network of one's own choice.
    *
    * @param settings checked settings
+   * @param adapter adapter to the platform
    * @param networkFilter wraps the network to other instances
    * @return running process; fails with {@link FailureType#SETTINGS_INVALID} if an address cannot
    *     be bound
    */
-  public static EntryProcess start(Settings settings, UnaryOperator<PeerNetwork> networkFilter) {
+  public static EntryProcess start(
+      Settings settings, StoreAdapter adapter, UnaryOperator<PeerNetwork> networkFilter) {
     requireNonNull(settings, "settings");
+    requireNonNull(adapter, "adapter");
     requireNonNull(networkFilter, "networkFilter");
     LongSupplier unreadLines = settings.log().apply();
-    Foundation foundation = Foundation.start(settings, networkFilter);
+    Foundation foundation = Foundation.start(settings, adapter, networkFilter);
     DroppedLines.watch(foundation, unreadLines);
     CatalogueController catalogue = catalogue(foundation);
     KeyMemory keys = KeyMemory.start(foundation);
--- a/snipewick/src/main/java/org/snipewick/entry/Foundation.java
+++ b/snipewick/src/main/java/org/snipewick/entry/Foundation.java
@@ -27,9 +27,10 @@
 import org.snipewick.pool.PoolMessages;
 import org.snipewick.settings.Settings;
 import org.snipewick.store.ListedInstance;
-import org.snipewick.store.http.HttpPlatform;
-import org.snipewick.store.http.PlatformSettings;
-import org.snipewick.store.http.WriteShares;
+import org.snipewick.store.access.StoreAccess;
+import org.snipewick.store.access.StoreAdapter;
+import org.snipewick.store.access.StoreSettings;
+import org.snipewick.store.access.WriteShares;
 import org.snipewick.time.SystemTimerService;
 import org.snipewick.writer.WriterMessages;
 
@@ -53,7 +54,7 @@
     SystemTimerService timer,
     Timeline timeline,
     MetricRegistry metrics,
-    HttpPlatform platform,
+    StoreAccess platform,
     Supplier<WriteShares> shares,
     TcpPeerNetwork transport,
     PeerNetwork network,
@@ -64,14 +65,16 @@
     requireNonNull(settings, "settings");
   }
 
-  static Foundation start(Settings settings, UnaryOperator<PeerNetwork> networkFilter) {
+  static Foundation start(
+      Settings settings, StoreAdapter adapter, UnaryOperator<PeerNetwork> networkFilter) {
     SystemTimerService timer = SystemTimerService.of("control");
     long incarnation = timer.epochMillis();
     Timeline timeline = Timeline.of(settings.instance().value(), timer, TIMELINE_EVENTS);
-    PlatformSettings access = platformSettings(settings);
+    StoreSettings access = platformSettings(settings);
     AtomicReference<WriteShares> shares =
         new AtomicReference<>(WriteShares.withoutWriters(access, 1));
-    HttpPlatform platform = HttpPlatform.of(access, timer, timeline, new Random(), shares::get);
+    StoreAccess platform =
+        StoreAccess.of(adapter, access, timer, timeline, new Random(), shares::get);
     TcpPeerNetwork transport =
         TcpPeerNetwork.listen(
             settings.instance(),
@@ -107,7 +110,7 @@
   }
 
   private static WriteShares shares(Settings settings, MembershipView view) {
-    PlatformSettings access = platformSettings(settings);
+    StoreSettings access = platformSettings(settings);
     int instances = view.members().size();
     return settings.platform().domainWriters()
         ? WriteShares.withWriters(access, instances, view.byDomain().size())
@@ -129,9 +132,9 @@
         WriterMessages.MESSAGE_TYPES);
   }
 
-  private static PlatformSettings platformSettings(Settings settings) {
+  private static StoreSettings platformSettings(Settings settings) {
     Settings.Platform platform = settings.platform();
-    return PlatformSettings.of(platform.host(), platform.port())
+    return StoreSettings.of(platform.host(), platform.port())
         .withTimeoutMillis(platform.timeoutMillis())
         .withRates(platform.writesPerSecond(), platform.readsPerSecond())
         .withAllWrites(platform.allWritesPerSecond());
--- a/snipewick/src/main/java/org/snipewick/entry/KeyMemory.java
+++ b/snipewick/src/main/java/org/snipewick/entry/KeyMemory.java
@@ -12,7 +12,7 @@
 import org.snipewick.idempotency.RoutingLedger;
 import org.snipewick.idempotency.TableRequestLedger;
 import org.snipewick.store.Table;
-import org.snipewick.store.http.HttpPlatform;
+import org.snipewick.store.access.StoreAccess;
 import org.snipewick.writer.DomainTable;
 import org.snipewick.writer.DomainWriter;
 
@@ -60,7 +60,7 @@
   /** Returns the table for rows of actions; all other rows are written directly. */
   private static Table intentTable(Foundation foundation) {
     BooleanSupplier enabled = () -> foundation.shares().get().usesWriters();
-    HttpPlatform platform = foundation.platform();
+    StoreAccess platform = foundation.platform();
     DomainWriter.start(
         foundation.network(), foundation.membership(), platform.writerTable(), enabled);
     return DomainTable.of(
--- a/snipewick/src/main/java/org/snipewick/fleet/FleetMember.java
+++ b/snipewick/src/main/java/org/snipewick/fleet/FleetMember.java
@@ -45,8 +45,14 @@
     }
   }
 
-  /** Reads a row. */
-  static FleetMember decode(TableRow row) throws IOException {
+  /**
+   * Reads a row.
+   *
+   * @param row row of the table
+   * @return member
+   * @throws IOException if its content cannot be read
+   */
+  public static FleetMember decode(TableRow row) throws IOException {
     JsonNode node = JSON.readTree(row.value());
     return new FleetMember(
         InstanceId.of(row.key()),
--- a/snipewick/src/main/java/org/snipewick/platform/FrontProcess.java
+++ b/snipewick/src/main/java/org/snipewick/platform/FrontProcess.java
@@ -35,6 +35,7 @@
 import org.snipewick.route.PlanController;
 import org.snipewick.store.MirrorListener;
 import org.snipewick.store.TableMirror;
+import org.snipewick.store.access.DirectStore;
 import org.snipewick.time.SystemTimerService;
 import org.snipewick.time.TimerService;
 import org.snipewick.transport.EventloopTimerService;
@@ -50,6 +51,9 @@
 
   private static final int MAX_BODY_BYTES = 16 * 1024 * 1024;
 
+  /** The store answers within some milliseconds; a silent connection shows only by this. */
+  private static final Duration STORE_TIMEOUT = Duration.ofMillis(800);
+
   /** How long the store waits for a change; together with the time-out far below revocation. */
   private static final Duration WATCH_WAIT = Duration.ofSeconds(2);
 
@@ -57,7 +61,6 @@
   private static final Duration REVOCATION_MARGIN = Duration.ofMillis(300);
 
   private static final String CONFIGURATION_TABLE = "op";
-  private static final String ENDPOINT_TABLE = "servers";
 
   /** The balancer sends no more after two misses, a second apart. */
   private static final Duration BALANCER_DELAY = Duration.ofMillis(2500);
@@ -94,7 +97,9 @@
     roster = EndpointRoster.of(timer, events, relay::update);
     PrometheusText text = PrometheusText.of(metrics);
     HealthServer.listen(eventloop, settings.health(), this::isReady, text::write);
-    follow(StoreClient.of(transport, timer, settings.store()));
+    follow(
+        DirectStore.of(
+            StoreClient.of(eventloop, transport, settings.store(), STORE_TIMEOUT, () -> {})));
   }
 
   /**
@@ -132,22 +137,22 @@
         new SplittableRandom());
   }
 
-  private void follow(StoreClient store) {
+  private void follow(DirectStore store) {
     ConfigurationListener configuration = new ConfigurationListener(plans, events);
     mirror(store, CONFIGURATION_TABLE, configuration);
-    mirror(store, ENDPOINT_TABLE, new EndpointListener(roster, events));
+    mirror(store, UsersPlatform.ENDPOINT_TABLE, new EndpointListener(roster, events));
     FleetMember self = new FleetMember(settings.instance(), settings.domain(), settings.peers());
     CompletableFuture<Void> unused =
         Registration.start(store, self, timer, events, new SplittableRandom())
             .thenAccept(incarnation -> joinFleet(store, incarnation, configuration));
   }
 
-  private void mirror(StoreClient store, String table, MirrorListener listener) {
+  private void mirror(DirectStore store, String table, MirrorListener listener) {
     TableMirror.start(store, table, WATCH_WAIT, timer, events, new SplittableRandom(), listener);
   }
 
   /** Meets the other instances once the store has numbered this start of the process. */
-  private void joinFleet(StoreClient store, long incarnation, ConfigurationListener configuration) {
+  private void joinFleet(DirectStore store, long incarnation, ConfigurationListener configuration) {
     PeerNetwork network =
         TcpPeerNetwork.listen(
             settings.instance(),
--- a/snipewick/src/main/java/org/snipewick/platform/StoreClient.java
+++ b/snipewick/src/main/java/org/snipewick/platform/StoreClient.java
@@ -2,189 +2,240 @@
 
 import static java.util.Objects.requireNonNull;
 
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.activej.eventloop.Eventloop;
 import io.activej.http.HttpHeaders;
 import io.activej.http.HttpRequest;
 import io.activej.http.HttpResponse;
+import io.activej.promise.Promise;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.URLEncoder;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.Base64;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import org.snipewick.failure.Failure;
-import org.snipewick.failure.FailureType;
+import java.util.function.Supplier;
 import org.snipewick.store.RowChanges;
 import org.snipewick.store.RowPage;
-import org.snipewick.store.TableReader;
-import org.snipewick.store.TableRow;
-import org.snipewick.store.TableWriter;
+import org.snipewick.store.Write;
+import org.snipewick.store.access.Reply;
+import org.snipewick.store.access.RowRange;
+import org.snipewick.store.access.StoreCalls;
+import org.snipewick.store.access.TransactionResult;
 import org.snipewick.time.TimerService;
+import org.snipewick.transport.EventloopTimerService;
 import org.snipewick.transport.Exchange;
 import org.snipewick.transport.HttpTransport;
 
-/** Client of the platform's store; to be used on the event loop of its transport. */
-final class StoreClient implements TableReader, TableWriter {
-  /** The store answers within some milliseconds; a silent connection shows only by this. */
-  private static final Duration CALL_TIMEOUT = Duration.ofMillis(800);
-
-  private static final int MAX_ANSWER_BYTES = 8 * 1024 * 1024;
+/**
+ * Client of the platform's store; may be called on any thread, answers on that of its event loop.
+ */
+final class StoreClient implements StoreCalls {
+  private static final int MAX_ANSWER_BYTES = 16 * 1024 * 1024;
   private static final int OK = 200;
+  private static final int FIRST_REDIRECTION = 300;
+  private static final int CLIENT_ERROR = 400;
+  private static final int NOT_FOUND = 404;
   private static final int GONE = 410;
-  private static final ObjectMapper JSON = new ObjectMapper();
+  private static final int CONDITION_FAILED = 412;
+  private static final int TOO_MANY_REQUESTS = 429;
+  private static final int SERVER_ERROR = 500;
+  private static final int UNAVAILABLE = 503;
 
+  private final Eventloop eventloop;
   private final HttpTransport transport;
   private final TimerService timer;
   private final String address;
-
-  private StoreClient(HttpTransport transport, TimerService timer, InetSocketAddress address) {
+  private final Duration timeout;
+  private final Runnable end;
+
+  private StoreClient(
+      Eventloop eventloop,
+      HttpTransport transport,
+      InetSocketAddress address,
+      Duration timeout,
+      Runnable end) {
+    this.eventloop = requireNonNull(eventloop, "eventloop");
     this.transport = requireNonNull(transport, "transport");
-    this.timer = requireNonNull(timer, "timer");
+    this.timeout = requireNonNull(timeout, "timeout");
+    this.end = requireNonNull(end, "end");
+    this.timer = EventloopTimerService.of(eventloop);
     this.address = "http://" + address.getHostString() + ":" + address.getPort();
   }
 
-  static StoreClient of(HttpTransport transport, TimerService timer, InetSocketAddress address) {
-    return new StoreClient(transport, timer, address);
+  /**
+   * Creates a client on an event loop that runs already or will.
+   *
+   * @param eventloop event loop made for monotonic time
+   * @param transport HTTP client on that loop
+   * @param address address of the store
+   * @param timeout time until a call's whole answer, beyond what the store was asked to wait
+   * @param end run on the event loop when the client is closed
+   * @return client
+   */
+  static StoreClient of(
+      Eventloop eventloop,
+      HttpTransport transport,
+      InetSocketAddress address,
+      Duration timeout,
+      Runnable end) {
+    return new StoreClient(eventloop, transport, address, timeout, end);
   }
 
   private record Answer(int status, byte[] body) {}
 
+  /** Reads the answer of a call that was carried out. */
+  @FunctionalInterface
+  private interface Decoder<T> {
+    T decode(Answer answer) throws IOException;
+  }
+
   @Override
-  public CompletableFuture<RowPage> read(String table, Optional<String> after) {
-    String from = after.map(key -> "&from=" + encode(key)).orElse("");
-    String path = "/rows-get?table=" + encode(table) + "&part=" + from;
-    return call(HttpRequest.get(address + path), CALL_TIMEOUT)
-        .thenApply(answer -> page(answer, after));
+  public CompletableFuture<Reply<RowPage>> rows(RowRange range) {
+    return get(StoreFormat.pathOfRows(range), timeout, answer -> StoreFormat.page(answer.body()));
   }
 
   @Override
-  public CompletableFuture<RowChanges> changes(String table, long version, Duration wait) {
-    String path =
-        "/rows-feed?table=" + encode(table) + "&after=" + version + "&wait_ms=" + wait.toMillis();
-    return call(HttpRequest.get(address + path), wait.plus(CALL_TIMEOUT))
-        .thenApply(StoreClient::decodeChanges);
+  public CompletableFuture<Reply<RowChanges>> changes(String table, long version, Duration wait) {
+    String path = StoreFormat.pathOfChanges(table, version, wait.toMillis());
+    return get(
+        path,
+        wait.plus(timeout),
+        answer ->
+            answer.status() == GONE
+                ? new RowChanges.Forgotten("history is no longer kept")
+                : StoreFormat.changes(answer.body()),
+        GONE);
   }
 
   @Override
-  public CompletableFuture<Long> put(String table, String key, byte[] value) {
-    ObjectNode body = JSON.createObjectNode();
-    body.putArray("expected_rev");
-    body.putArray("writes")
-        .add(rowName(table, key).put("value", Base64.getEncoder().encodeToString(value)));
-    body.putArray("remove");
-    return transact(body).thenApply(answer -> json(answer).path("ver").asLong());
-  }
-
-  private static ObjectNode rowName(String table, String key) {
-    return JSON.createObjectNode().put("table", table).put("part", "").put("key", key);
-  }
-
-  private CompletableFuture<Answer> transact(ObjectNode body) {
-    HttpRequest request =
-        HttpRequest.post(address + "/rows-tx")
-            .withHeader(HttpHeaders.CONTENT_TYPE, "application/json")
-            .withBody(body.toString().getBytes(StandardCharsets.UTF_8));
-    return call(request, CALL_TIMEOUT);
-  }
-
-  /** The range begins with the key after which reading goes on, so that row is left out. */
-  private static RowPage page(Answer answer, Optional<String> after) {
-    JsonNode root = json(answer);
-    List<TableRow> rows = new ArrayList<>();
-    for (JsonNode each : root.path("rows")) {
-      TableRow row = row(each);
-      if (!after.equals(Optional.of(row.key()))) {
-        rows.add(row);
-      }
-    }
-    return new RowPage(rows, root.path("ver").asLong(), root.path("truncated").asBoolean());
+  public CompletableFuture<Reply<TransactionResult>> transact(String table, List<Write> writes) {
+    return post(
+        StoreFormat.transaction(table, writes),
+        answer ->
+            answer.status() == CONDITION_FAILED
+                ? StoreFormat.refused(answer.body())
+                : StoreFormat.committed(answer.body()),
+        CONDITION_FAILED);
   }
 
-  private static RowChanges decodeChanges(Answer answer) {
-    if (answer.status() == GONE) {
-      return new RowChanges.Forgotten("history is no longer kept");
-    }
-    JsonNode root = json(answer);
-    List<TableRow> written = new ArrayList<>();
-    List<String> removed = new ArrayList<>();
-    for (JsonNode each : root.path("rows")) {
-      if (each.path("removed").asBoolean()) {
-        removed.add(each.path("key").asText());
-        written.removeIf(row -> row.key().equals(each.path("key").asText()));
-      } else {
-        written.add(row(each));
-        removed.remove(each.path("key").asText());
-      }
-    }
-    return new RowChanges.Told(written, removed, root.path("ver").asLong());
+  @Override
+  public CompletableFuture<Reply<Long>> put(String table, String key, byte[] value) {
+    return post(
+        StoreFormat.put(table, key, value), answer -> StoreFormat.version(answer.body()), OK);
   }
 
-  private static TableRow row(JsonNode node) {
-    byte[] value;
-    try {
-      value = Base64.getDecoder().decode(node.path("value").asText());
-    } catch (IllegalArgumentException malformed) {
-      // The decoder of the row's content reports it with the row's key.
-      value = new byte[0];
-    }
-    return new TableRow(
-        node.path("part").asText(), node.path("key").asText(), value, node.path("ver").asLong());
+  @Override
+  public CompletableFuture<Reply<Optional<byte[]>>> object(String name) {
+    return get(
+        StoreFormat.pathOfObject(name),
+        timeout,
+        answer -> answer.status() == NOT_FOUND ? Optional.empty() : Optional.of(answer.body()),
+        NOT_FOUND);
   }
 
-  private static JsonNode json(Answer answer) {
-    if (answer.status() != OK) {
-      throw unavailable("store answered with status " + answer.status()).toException();
-    }
-    try {
-      return JSON.readTree(answer.body());
-    } catch (IOException malformed) {
-      throw unavailable("store's answer cannot be read").toException();
+  @Override
+  public CompletableFuture<Reply<String>> putObject(String name, byte[] content) {
+    byte[] copy = content.clone();
+    return call(
+        () -> HttpRequest.put(address + StoreFormat.pathToPut(name)).withBody(copy),
+        timeout,
+        answer -> name,
+        OK);
+  }
+
+  @Override
+  public CompletableFuture<Reply<List<String>>> objectNames(String prefix) {
+    return get(
+        StoreFormat.pathOfNames(prefix), timeout, answer -> StoreFormat.names(answer.body()));
+  }
+
+  @Override
+  public void close() {
+    eventloop.execute(end);
+  }
+
+  private <T> CompletableFuture<Reply<T>> get(String path, Duration limit, Decoder<T> decoder) {
+    return get(path, limit, decoder, OK);
+  }
+
+  private <T> CompletableFuture<Reply<T>> get(
+      String path, Duration limit, Decoder<T> decoder, int expected) {
+    return call(() -> HttpRequest.get(address + path), limit, decoder, expected);
+  }
+
+  private <T> CompletableFuture<Reply<T>> post(byte[] body, Decoder<T> decoder, int expected) {
+    return call(
+        () ->
+            HttpRequest.post(address + StoreFormat.TRANSACTION)
+                .withHeader(HttpHeaders.CONTENT_TYPE, "application/json")
+                .withBody(body),
+        timeout,
+        decoder,
+        expected);
+  }
+
+  private <T> CompletableFuture<Reply<T>> call(
+      Supplier<HttpRequest> request, Duration limit, Decoder<T> decoder, int expected) {
+    CompletableFuture<Reply<T>> result = new CompletableFuture<>();
+    Runnable send = () -> send(request.get(), limit, decoder, expected, result);
+    if (eventloop.inEventloopThread()) {
+      send.run();
+    } else {
+      eventloop.execute(send);
     }
+    return result;
   }
 
-  private CompletableFuture<Answer> call(HttpRequest request, Duration timeout) {
+  private <T> void send(
+      HttpRequest request,
+      Duration limit,
+      Decoder<T> decoder,
+      int expected,
+      CompletableFuture<Reply<T>> result) {
     Exchange exchange = Exchange.of();
-    CompletableFuture<Answer> result = new CompletableFuture<>();
-    TimerService.Subscription limit =
+    TimerService.Subscription giveUp =
         timer.after(
-            timeout,
+            limit,
             () -> {
               exchange.cancel();
-              result.completeExceptionally(
-                  unavailable("store did not answer within " + timeout).toException());
+              result.complete(unanswered(exchange, "store did not answer within " + limit));
             });
     transport
         .send(request, exchange)
         .then(StoreClient::load)
         .run(
             (answer, thrown) -> {
-              limit.cancel();
-              if (thrown == null) {
-                result.complete(answer);
-              } else {
-                result.completeExceptionally(
-                    unavailable("call to the store failed: " + thrown).toException());
-              }
+              giveUp.cancel();
+              result.complete(
+                  thrown == null
+                      ? reply(answer, decoder, expected)
+                      : unanswered(exchange, "call to the store failed: " + thrown));
             });
-    return result;
   }
 
-  private static io.activej.promise.Promise<Answer> load(HttpResponse response) {
+  private static Promise<Answer> load(HttpResponse response) {
     int status = response.getCode();
     return response.loadBody(MAX_ANSWER_BYTES).map(body -> new Answer(status, body.getArray()));
   }
 
-  private static Failure unavailable(String detail) {
-    return Failure.unknown(FailureType.PLATFORM_UNAVAILABLE, detail);
+  private static <T> Reply<T> unanswered(Exchange exchange, String detail) {
+    return exchange.mayHaveBeenSent() ? Reply.lost(detail) : Reply.notSent(detail);
   }
 
-  private static String encode(String text) {
-    return URLEncoder.encode(text, StandardCharsets.UTF_8).replace("+", "%20");
+  private static <T> Reply<T> reply(Answer answer, Decoder<T> decoder, int expected) {
+    int status = answer.status();
+    if (status == expected || (status >= OK && status < FIRST_REDIRECTION)) {
+      try {
+        return new Reply.Answered<>(decoder.decode(answer));
+      } catch (IOException malformed) {
+        return Reply.malformed("malformed answer of the store: " + malformed.getMessage());
+      }
+    }
+    boolean isClientError = status >= CLIENT_ERROR && status < SERVER_ERROR;
+    return new Reply.Failed<>(
+        "store answered with status " + status,
+        isClientError || status == UNAVAILABLE,
+        status == TOO_MANY_REQUESTS || status >= SERVER_ERROR,
+        status < SERVER_ERROR);
   }
 }
--- /dev/null
+++ b/snipewick/src/main/java/org/snipewick/platform/StoreFormat.java
@@ -0,0 +1,195 @@
+package org.snipewick.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+import org.snipewick.store.RowChanges;
+import org.snipewick.store.RowPage;
+import org.snipewick.store.TableRow;
+import org.snipewick.store.Write;
+import org.snipewick.store.access.RowRange;
+import org.snipewick.store.access.TransactionResult;
+
+/** Paths and bodies of the store's calls. Rows of the instances stand in the part without name. */
+final class StoreFormat {
+  static final String TRANSACTION = "/rows-tx";
+  private static final long ABSENT = 0;
+  private static final ObjectMapper JSON = new ObjectMapper();
+
+  private StoreFormat() {}
+
+  static String pathOfRows(RowRange range) {
+    String from = range.from().isEmpty() ? "" : "&from=" + encode(range.from());
+    String to = range.to().map(key -> "&to=" + encode(key)).orElse("");
+    return "/rows-get?table="
+        + encode(range.table())
+        + "&part="
+        + from
+        + to
+        + "&limit="
+        + range.limit();
+  }
+
+  static String pathOfChanges(String table, long version, long waitMillis) {
+    return "/rows-feed?table=" + encode(table) + "&after=" + version + "&wait_ms=" + waitMillis;
+  }
+
+  static String pathOfObject(String name) {
+    return "/blob-get/" + encode(name);
+  }
+
+  static String pathToPut(String name) {
+    return "/blob-put/" + encode(name);
+  }
+
+  static String pathOfNames(String prefix) {
+    return "/blob-list?prefix=" + encode(prefix);
+  }
+
+  /** Encodes conditional writes; "expected_rev" holds the versions that the rows must have. */
+  static byte[] transaction(String table, List<Write> writes) {
+    ObjectNode body = JSON.createObjectNode();
+    ArrayNode conditions = body.putArray("expected_rev");
+    ArrayNode written = body.putArray("writes");
+    ArrayNode removed = body.putArray("remove");
+    for (Write write : writes) {
+      conditions.add(name(table, write.key()).put("ver", expectedVersion(write)));
+      if (write instanceof Write.Insert insert) {
+        written.add(row(table, write.key(), bytes(insert.value())));
+      } else if (write instanceof Write.Replace replace) {
+        written.add(row(table, write.key(), bytes(replace.value())));
+      } else {
+        removed.add(name(table, write.key()));
+      }
+    }
+    return bytes(body.toString());
+  }
+
+  /** Encodes a write without a condition. */
+  static byte[] put(String table, String key, byte[] value) {
+    ObjectNode body = JSON.createObjectNode();
+    body.putArray("expected_rev");
+    body.putArray("writes").add(row(table, key, value));
+    body.putArray("remove");
+    return bytes(body.toString());
+  }
+
+  static long version(byte[] body) throws IOException {
+    JsonNode version = root(body).path("ver");
+    if (!version.isIntegralNumber()) {
+      throw new IOException("no version in the store's answer");
+    }
+    return version.longValue();
+  }
+
+  static TransactionResult committed(byte[] body) throws IOException {
+    return new TransactionResult.Committed(version(body));
+  }
+
+  static TransactionResult refused(byte[] body) throws IOException {
+    return new TransactionResult.Refused(rowsOf(root(body)));
+  }
+
+  static RowPage page(byte[] body) throws IOException {
+    JsonNode root = root(body);
+    return new RowPage(rowsOf(root), version(body), root.path("truncated").asBoolean());
+  }
+
+  static RowChanges changes(byte[] body) throws IOException {
+    List<TableRow> written = new ArrayList<>();
+    List<String> removed = new ArrayList<>();
+    for (JsonNode each : rowNodes(root(body))) {
+      String key = each.path("key").asText();
+      written.removeIf(row -> row.key().equals(key));
+      removed.remove(key);
+      if (each.path("removed").asBoolean()) {
+        removed.add(key);
+      } else {
+        written.add(decodeRow(each));
+      }
+    }
+    return new RowChanges.Told(written, removed, version(body));
+  }
+
+  static List<String> names(byte[] body) throws IOException {
+    List<String> names = new ArrayList<>();
+    for (JsonNode each : root(body).path("names")) {
+      names.add(each.asText());
+    }
+    return names;
+  }
+
+  private static long expectedVersion(Write write) {
+    if (write instanceof Write.Replace replace) {
+      return replace.version();
+    }
+    return write instanceof Write.Delete delete ? delete.version() : ABSENT;
+  }
+
+  private static ObjectNode name(String table, String key) {
+    return JSON.createObjectNode().put("table", table).put("part", "").put("key", key);
+  }
+
+  private static ObjectNode row(String table, String key, byte[] value) {
+    return name(table, key).put("value", Base64.getEncoder().encodeToString(value));
+  }
+
+  private static List<TableRow> rowsOf(JsonNode root) throws IOException {
+    List<TableRow> rows = new ArrayList<>();
+    for (JsonNode each : rowNodes(root)) {
+      // Rows of a refused transaction that do not exist may be named without a value.
+      if (each.has("value")) {
+        rows.add(decodeRow(each));
+      }
+    }
+    return rows;
+  }
+
+  private static JsonNode rowNodes(JsonNode root) throws IOException {
+    JsonNode rows = root.path("rows");
+    if (!rows.isArray()) {
+      throw new IOException("no rows in the store's answer");
+    }
+    for (JsonNode each : rows) {
+      if (!each.path("key").isTextual()) {
+        throw new IOException("row without a key");
+      }
+    }
+    return rows;
+  }
+
+  private static TableRow decodeRow(JsonNode node) {
+    byte[] value;
+    try {
+      value = Base64.getDecoder().decode(node.path("value").asText());
+    } catch (IllegalArgumentException malformed) {
+      // The decoder of the row's content reports it with the row's key.
+      value = new byte[0];
+    }
+    return new TableRow(
+        node.path("part").asText(), node.path("key").asText(), value, node.path("ver").asLong());
+  }
+
+  private static JsonNode root(byte[] body) throws IOException {
+    JsonNode root = JSON.readTree(body);
+    if (root == null || !root.isObject()) {
+      throw new IOException("the store's answer is no object");
+    }
+    return root;
+  }
+
+  private static byte[] bytes(String text) {
+    return text.getBytes(StandardCharsets.UTF_8);
+  }
+
+  private static String encode(String text) {
+    return URLEncoder.encode(text, StandardCharsets.UTF_8).replace("+", "%20");
+  }
+}
--- /dev/null
+++ b/snipewick/src/main/java/org/snipewick/platform/UsersPlatform.java
@@ -0,0 +1,86 @@
+package org.snipewick.platform;
+
+import io.activej.eventloop.Eventloop;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import org.snipewick.fleet.FleetMember;
+import org.snipewick.roster.RosterEndpoint;
+import org.snipewick.store.ListedInstance;
+import org.snipewick.store.TableRow;
+import org.snipewick.store.access.StoreAdapter;
+import org.snipewick.store.access.StoreCalls;
+import org.snipewick.store.access.StoreSettings;
+import org.snipewick.transport.EventloopTimerService;
+import org.snipewick.transport.HttpTransport;
+
+/** The users' platform as the product's own interface uses it. */
+public final class UsersPlatform implements StoreAdapter {
+  static final String ENDPOINT_TABLE = "servers";
+  private static final int MAX_BODY_BYTES = 16 * 1024 * 1024;
+
+  private UsersPlatform() {}
+
+  /**
+   * Returns the adapter.
+   *
+   * @return adapter to the users' platform
+   */
+  public static UsersPlatform of() {
+    return new UsersPlatform();
+  }
+
+  @Override
+  public StoreCalls connect(StoreSettings settings) {
+    Eventloop eventloop = EventloopTimerService.monotonicEventloop();
+    eventloop.keepAlive(true);
+    Duration timeout = Duration.ofMillis(settings.timeoutMillis());
+    StoreClient client =
+        StoreClient.of(
+            eventloop,
+            HttpTransport.of(eventloop, timeout, MAX_BODY_BYTES),
+            new InetSocketAddress(settings.host(), settings.port()),
+            timeout,
+            eventloop::breakEventloop);
+    Thread thread = new Thread(eventloop, "store");
+    thread.setDaemon(true);
+    thread.start();
+    return client;
+  }
+
+  @Override
+  public String endpointTable() {
+    return ENDPOINT_TABLE;
+  }
+
+  @Override
+  public ListedInstance endpoint(TableRow row) throws IOException {
+    RosterEndpoint endpoint = EndpointCodec.decode(row);
+    return new ListedInstance(
+        endpoint.id().value(),
+        ListedInstance.Kind.ENDPOINT,
+        endpoint.domain(),
+        endpoint.host(),
+        endpoint.port(),
+        endpoint.pool().value(),
+        endpoint.isLeaving() ? ListedInstance.State.LEAVING : ListedInstance.State.LIVE);
+  }
+
+  @Override
+  public String instanceTable() {
+    return FleetMember.TABLE;
+  }
+
+  @Override
+  public ListedInstance instance(TableRow row) throws IOException {
+    FleetMember member = FleetMember.decode(row);
+    return new ListedInstance(
+        member.instance().value(),
+        ListedInstance.Kind.ENTRY,
+        member.domain(),
+        member.address().getHostString(),
+        member.address().getPort(),
+        "",
+        ListedInstance.State.LIVE);
+  }
+}
--- a/snipewick/src/main/java/org/snipewick/store/ListedInstance.java
+++ b/snipewick/src/main/java/org/snipewick/store/ListedInstance.java
@@ -55,12 +55,9 @@
     /** A process of this system. */
     @JsonProperty("entry")
     ENTRY,
-    /** A replica of a model engine. */
-    @JsonProperty("engine")
-    ENGINE,
-    /** A replica of a plain service. */
-    @JsonProperty("service")
-    SERVICE
+    /** A replica of a model engine or of a plain service. */
+    @JsonProperty("endpoint")
+    ENDPOINT
   }
 
   /** State of a listed instance. */
--- a/snipewick/src/main/java/org/snipewick/store/RowPage.java
+++ b/snipewick/src/main/java/org/snipewick/store/RowPage.java
@@ -15,4 +15,15 @@
   public RowPage {
     rows = List.copyOf(rows);
   }
+
+  /**
+   * Returns the page without a row.
+   *
+   * @param key key of the row
+   * @return page without it; the same rows if it is not there
+   */
+  public RowPage withoutRow(String key) {
+    List<TableRow> others = rows.stream().filter(row -> !row.key().equals(key)).toList();
+    return new RowPage(others, version, isTruncated);
+  }
 }
--- a/snipewick/src/main/java/org/snipewick/store/http/CircuitBreaker.java
+++ b/snipewick/src/main/java/org/snipewick/store/access/CircuitBreaker.java
@@ -1,4 +1,4 @@
-package org.snipewick.store.http;
+package org.snipewick.store.access;
 
 import static java.util.Objects.requireNonNull;
 
@@ -17,21 +17,21 @@
 
 /** Stops calls after failures in a row until a probe has been answered. */
 final class CircuitBreaker implements PlatformHealth {
-  private final PlatformSettings.Circuit settings;
+  private final StoreSettings.Circuit settings;
   private final TimerService timer;
   private final EventLog events;
   private final RandomGenerator random;
-  private final Supplier<CompletableFuture<Reply>> probe;
+  private final Supplier<? extends CompletableFuture<? extends Reply<?>>> probe;
   private final AtomicReference<State> state = new AtomicReference<>(new State(0, false));
 
   private record State(int failures, boolean open) {}
 
   CircuitBreaker(
-      PlatformSettings.Circuit settings,
+      StoreSettings.Circuit settings,
       TimerService timer,
       EventLog events,
       RandomGenerator random,
-      Supplier<CompletableFuture<Reply>> probe) {
+      Supplier<? extends CompletableFuture<? extends Reply<?>>> probe) {
     this.settings = requireNonNull(settings, "settings");
     this.timer = requireNonNull(timer, "timer");
     this.events = requireNonNull(events, "events");
@@ -55,8 +55,8 @@
   }
 
   /** Notes what came of a call. */
-  void observe(Reply reply) {
-    boolean alive = reply.showsPlatformAlive();
+  void observe(Reply<?> reply) {
+    boolean alive = reply.showsStoreAlive();
     State before =
         state.getAndUpdate(
             present -> {
@@ -68,7 +68,7 @@
             });
     boolean opened = !alive && !before.open() && before.failures() + 1 >= settings.failuresToOpen();
     if (opened) {
-      events.record(EventType.PLATFORM_LOST, "", Map.of("detail", reply.detail()));
+      events.record(EventType.PLATFORM_LOST, "", Map.of("detail", detail(reply)));
       probeLater();
     }
   }
@@ -79,12 +79,16 @@
     timer.after(delay, () -> probe.get().thenAccept(this::onProbe));
   }
 
-  private void onProbe(Reply reply) {
-    if (reply.showsPlatformAlive()) {
+  private void onProbe(Reply<?> reply) {
+    if (reply.showsStoreAlive()) {
       state.set(new State(0, false));
       events.record(EventType.PLATFORM_REGAINED, "");
     } else {
       probeLater();
     }
   }
+
+  private static String detail(Reply<?> reply) {
+    return reply instanceof Reply.Failed<?> failed ? failed.detail() : "";
+  }
 }
--- /dev/null
+++ b/snipewick/src/main/java/org/snipewick/store/access/DirectStore.java
@@ -0,0 +1,64 @@
+package org.snipewick.store.access;
+
+import static java.util.Objects.requireNonNull;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.snipewick.failure.Failure;
+import org.snipewick.failure.FailureType;
+import org.snipewick.store.RowChanges;
+import org.snipewick.store.RowPage;
+import org.snipewick.store.TableReader;
+import org.snipewick.store.TableWriter;
+
+/** Reads and writes tables without repeats of its own, for parts that go on trying themselves. */
+public final class DirectStore implements TableReader, TableWriter {
+  private final StoreCalls calls;
+
+  private DirectStore(StoreCalls calls) {
+    this.calls = requireNonNull(calls, "calls");
+  }
+
+  /**
+   * Creates the access.
+   *
+   * @param calls calls to the store
+   * @return access
+   */
+  public static DirectStore of(StoreCalls calls) {
+    return new DirectStore(calls);
+  }
+
+  @Override
+  public CompletableFuture<RowPage> read(String table, Optional<String> after) {
+    RowRange range = after.map(RowRange.of(table)::withFrom).orElse(RowRange.of(table));
+    return answer(calls.rows(range)).thenApply(page -> after.map(page::withoutRow).orElse(page));
+  }
+
+  @Override
+  public CompletableFuture<RowChanges> changes(String table, long version, Duration wait) {
+    return answer(calls.changes(table, version, wait));
+  }
+
+  @Override
+  public CompletableFuture<Long> put(String table, String key, byte[] value) {
+    return answer(calls.put(table, key, value));
+  }
+
+  private static <T> CompletableFuture<T> answer(CompletableFuture<Reply<T>> call) {
+    return call.thenApply(
+        reply -> {
+          if (reply instanceof Reply.Answered<T> answered) {
+            return answered.value();
+          }
+          throw failure((Reply.Failed<T>) reply).toException();
+        });
+  }
+
+  private static Failure failure(Reply.Failed<?> failed) {
+    return failed.hadNoEffect()
+        ? Failure.notRun(FailureType.PLATFORM_UNAVAILABLE, failed.detail())
+        : Failure.unknown(FailureType.PLATFORM_UNAVAILABLE, failed.detail());
+  }
+}
--- a/snipewick/src/main/java/org/snipewick/store/http/RetryPolicy.java
+++ b/snipewick/src/main/java/org/snipewick/store/access/RetryPolicy.java
@@ -1,4 +1,4 @@
-package org.snipewick.store.http;
+package org.snipewick.store.access;
 
 import static java.util.Objects.requireNonNull;
 
@@ -13,11 +13,11 @@
   private static final long MAX_SAVED_RETRIES = 10;
   private static final int MAX_DOUBLINGS = 20;
 
-  private final PlatformSettings.Retry settings;
+  private final StoreSettings.Retry settings;
   private final RandomGenerator random;
   private final AtomicLong budget = new AtomicLong(MAX_SAVED_RETRIES * UNITS_PER_RETRY);
 
-  RetryPolicy(PlatformSettings.Retry settings, RandomGenerator random) {
+  RetryPolicy(StoreSettings.Retry settings, RandomGenerator random) {
     this.settings = requireNonNull(settings, "settings");
     this.random = requireNonNull(random, "random");
   }
--- a/snipewick/src/main/java/org/snipewick/store/http/HttpPlatform.java
+++ b/snipewick/src/main/java/org/snipewick/store/access/StoreAccess.java
@@ -1,4 +1,4 @@
-package org.snipewick.store.http;
+package org.snipewick.store.access;
 
 import static java.util.Objects.requireNonNull;
 
@@ -15,61 +15,73 @@
 import org.snipewick.store.WeightStore;
 import org.snipewick.time.TimerService;
 
-/** The platform over HTTP: its services share one client, retry budget and circuit breaker. */
-public final class HttpPlatform implements AutoCloseable {
-  private static final String PROBE = "/table/probe";
-
-  private final Transport transport;
+/** Access to the store: its parts share one client, retry budget and circuit breaker. */
+public final class StoreAccess implements AutoCloseable {
+  private final StoreCalls calls;
   private final CircuitBreaker circuit;
-  private final HttpTable table;
-  private final HttpTable writerTable;
-  private final HttpObjectStore objects;
+  private final StoreTable table;
+  private final StoreTable writerTable;
+  private final StoreObjects objects;
   private final InstanceList instances;
-  private final HttpWeightStore weights;
+  private final StoreWeights weights;
 
-  private HttpPlatform(
-      PlatformSettings settings,
+  private StoreAccess(
+      StoreAdapter adapter,
+      StoreSettings settings,
       TimerService timer,
       EventLog events,
       RandomGenerator random,
       Supplier<WriteShares> shares) {
-    transport = Transport.of(settings);
+    calls = adapter.connect(settings);
+    RowRange probe = RowRange.ofRow(StoreTable.NAME, "");
     circuit =
-        new CircuitBreaker(settings.circuit(), timer, events, random, () -> transport.get(PROBE));
+        new CircuitBreaker(settings.circuit(), timer, events, random, () -> calls.rows(probe));
     RetryPolicy retries = new RetryPolicy(settings.retry(), random);
-    Reads reads = new Reads(settings, transport, timer, circuit, retries);
-    Parsing parsing = new Parsing(circuit);
-    Function<DoubleSupplier, HttpTable> tableWithRate =
+    Reads reads = new Reads(settings, timer, circuit, retries);
+    Function<DoubleSupplier, StoreTable> tableWithRate =
         rate ->
-            new HttpTable(
+            new StoreTable(
+                calls,
                 reads,
-                new WriteBatcher(settings, transport::send, timer, circuit, retries, rate),
-                parsing);
+                new WriteBatcher(
+                    settings,
+                    writes -> calls.transact(StoreTable.NAME, writes),
+                    timer,
+                    circuit,
+                    retries,
+                    rate));
     table = tableWithRate.apply(() -> shares.get().direct());
     writerTable = tableWithRate.apply(() -> shares.get().writerOrDirect());
-    objects = new HttpObjectStore(reads, transport, timer, circuit, retries);
-    instances = WatchedInstanceList.of(new HttpInstanceList(reads, parsing), timer, events);
-    weights = new HttpWeightStore(reads);
+    objects = new StoreObjects(calls, reads, timer, circuit, retries);
+    StoreInstances list = new StoreInstances(adapter, calls, reads, events);
+    instances = WatchedInstanceList.of(list, timer, events);
+    weights = new StoreWeights(calls, reads);
   }
 
   /**
    * Creates the access to a platform; nothing is sent yet.
    *
+   * @param adapter adapter to the platform
    * @param settings address and limits
    * @param timer source of time, on the system clock
    * @param events log that gets the loss and return of the platform
    * @param random randomness for jitter, safe for use by several threads
    * @return access to the platform
    */
-  public static HttpPlatform of(
-      PlatformSettings settings, TimerService timer, EventLog events, RandomGenerator random) {
+  public static StoreAccess of(
+      StoreAdapter adapter,
+      StoreSettings settings,
+      TimerService timer,
+      EventLog events,
+      RandomGenerator random) {
     WriteShares alone = WriteShares.withoutWriters(settings, 1);
-    return of(settings, timer, events, random, () -> alone);
+    return of(adapter, settings, timer, events, random, () -> alone);
   }
 
   /**
    * Creates the access to a platform that several instances share.
    *
+   * @param adapter adapter to the platform
    * @param settings address and limits
    * @param timer source of time, on the system clock
    * @param events log that gets the loss and return of the platform
@@ -77,15 +89,17 @@
    * @param shares shares of this instance in the rate of writes, by the instances now known
    * @return access to the platform
    */
-  public static HttpPlatform of(
-      PlatformSettings settings,
+  public static StoreAccess of(
+      StoreAdapter adapter,
+      StoreSettings settings,
       TimerService timer,
       EventLog events,
       RandomGenerator random,
       Supplier<WriteShares> shares) {
+    requireNonNull(adapter, "adapter");
     requireNonNull(settings, "settings");
     requireNonNull(shares, "shares");
-    return new HttpPlatform(settings, timer, events, random, shares);
+    return new StoreAccess(adapter, settings, timer, events, random, shares);
   }
 
   /**
@@ -142,9 +156,9 @@
     return circuit;
   }
 
-  /** Ends the client's threads; calls in flight may stay unanswered. */
+  /** Ends the calls; those in flight may stay unanswered. */
   @Override
   public void close() {
-    transport.close();
+    calls.close();
   }
 }
--- a/snipewick/src/main/java/org/snipewick/store/http/PlatformSettings.java
+++ b/snipewick/src/main/java/org/snipewick/store/access/StoreSettings.java
@@ -1,4 +1,4 @@
-package org.snipewick.store.http;
+package org.snipewick.store.access;
 
 import static java.util.Objects.requireNonNull;
 
@@ -15,7 +15,7 @@
  * @param retry how calls are repeated
  * @param circuit when calls fail at once
  */
-public record PlatformSettings(
+public record StoreSettings(
     String host,
     int port,
     long timeoutMillis,
@@ -28,11 +28,14 @@
   private static final int MAX_PORT = 65_535;
   private static final long TIMEOUT_MILLIS = 1_000;
   private static final double WRITES_PER_SECOND = 40;
-  private static final double ALL_WRITES_PER_SECOND = 320;
+
+  /** Four fifths of the transactions a second that one part of a table takes. */
+  private static final double ALL_WRITES_PER_SECOND = 160;
+
   private static final double READS_PER_SECOND = 200;
 
   /** Checks the values. */
-  public PlatformSettings {
+  public StoreSettings {
     requireNonNull(host, "host");
     requireNonNull(batching, "batching");
     requireNonNull(retry, "retry");
@@ -51,8 +54,8 @@
    * @param port TCP port
    * @return settings
    */
-  public static PlatformSettings of(String host, int port) {
-    return new PlatformSettings(
+  public static StoreSettings of(String host, int port) {
+    return new StoreSettings(
         host,
         port,
         TIMEOUT_MILLIS,
@@ -70,8 +73,8 @@
    * @param millis time in milliseconds, positive
    * @return changed copy
    */
-  public PlatformSettings withTimeoutMillis(long millis) {
-    return new PlatformSettings(
+  public StoreSettings withTimeoutMillis(long millis) {
+    return new StoreSettings(
         host,
         port,
         millis,
@@ -90,8 +93,8 @@
    * @param reads calls per second that read, positive
    * @return changed copy
    */
-  public PlatformSettings withRates(double writes, double reads) {
-    return new PlatformSettings(
+  public StoreSettings withRates(double writes, double reads) {
+    return new StoreSettings(
         host, port, timeoutMillis, writes, allWritesPerSecond, reads, batching, retry, circuit);
   }
 
@@ -101,8 +104,8 @@
    * @param writes calls per second that write, positive
    * @return changed copy
    */
-  public PlatformSettings withAllWrites(double writes) {
-    return new PlatformSettings(
+  public StoreSettings withAllWrites(double writes) {
+    return new StoreSettings(
         host,
         port,
         timeoutMillis,
@@ -125,8 +128,8 @@
    * @param changed how writes share a call
    * @return changed copy
    */
-  public PlatformSettings withBatching(Batching changed) {
-    return new PlatformSettings(
+  public StoreSettings withBatching(Batching changed) {
+    return new StoreSettings(
         host,
         port,
         timeoutMillis,
@@ -144,8 +147,8 @@
    * @param changed how calls are repeated
    * @return changed copy
    */
-  public PlatformSettings withRetry(Retry changed) {
-    return new PlatformSettings(
+  public StoreSettings withRetry(Retry changed) {
+    return new StoreSettings(
         host,
         port,
         timeoutMillis,
@@ -163,8 +166,8 @@
    * @param changed when calls fail at once
    * @return changed copy
    */
-  public PlatformSettings withCircuit(Circuit changed) {
-    return new PlatformSettings(
+  public StoreSettings withCircuit(Circuit changed) {
+    return new StoreSettings(
         host,
         port,
         timeoutMillis,
@@ -190,7 +193,9 @@
    * @param maxWaiting writes that may wait; further ones are rejected
    */
   public record Batching(int maxRows, long lingerMillis, int maxWaiting) {
-    private static final int MAX_ROWS = 200;
+    /** The store takes 100 entries a call; a conditional write is two. */
+    private static final int MAX_ROWS = 50;
+
     private static final long LINGER_MILLIS = 2;
     private static final int MAX_WAITING = 5_000;
 
--- a/snipewick/src/main/java/org/snipewick/store/http/WriteBatcher.java
+++ b/snipewick/src/main/java/org/snipewick/store/access/WriteBatcher.java
@@ -1,17 +1,22 @@
-package org.snipewick.store.http;
+package org.snipewick.store.access;
 
 import static java.util.Objects.requireNonNull;
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Queue;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.DoubleSupplier;
+import org.snipewick.store.TableRow;
 import org.snipewick.store.Write;
 import org.snipewick.store.WriteResult;
 import org.snipewick.time.TimerService;
@@ -21,11 +26,11 @@
  * result of its own condition.
  */
 final class WriteBatcher {
-  private static final int MAX_BATCH_BYTES = 1_000_000;
+  private static final Duration UNLIMITED = Duration.ofNanos(Long.MAX_VALUE);
   private static final int INTERVALS_TO_WAIT = 2;
 
-  private final PlatformSettings settings;
-  private final Calls calls;
+  private final StoreSettings settings;
+  private final Transactions transactions;
   private final TimerService timer;
   private final CircuitBreaker circuit;
   private final RetryPolicy retries;
@@ -35,24 +40,23 @@
   private final AtomicInteger waiting = new AtomicInteger();
   private final AtomicBoolean sending = new AtomicBoolean();
 
-  /** Sends a call to the platform; the result never fails. */
+  /** Makes writes in one transaction; the result never fails. */
   @FunctionalInterface
-  interface Calls {
-    CompletableFuture<Reply> send(String method, String path, byte[] body);
+  interface Transactions {
+    CompletableFuture<Reply<TransactionResult>> transact(List<Write> writes);
   }
 
-  private record Pending(
-      byte[] operation, long sinceNanos, CompletableFuture<WriteResult> result) {}
+  private record Pending(Write write, long sinceNanos, CompletableFuture<WriteResult> result) {}
 
   WriteBatcher(
-      PlatformSettings settings,
-      Calls calls,
+      StoreSettings settings,
+      Transactions transactions,
       TimerService timer,
       CircuitBreaker circuit,
       RetryPolicy retries,
       DoubleSupplier callsPerSecond) {
     this.settings = requireNonNull(settings, "settings");
-    this.calls = requireNonNull(calls, "calls");
+    this.transactions = requireNonNull(transactions, "transactions");
     this.timer = requireNonNull(timer, "timer");
     this.circuit = requireNonNull(circuit, "circuit");
     this.retries = requireNonNull(retries, "retries");
@@ -66,18 +70,16 @@
     if (!circuit.isAvailable()) {
       return rejected("platform is unavailable");
     }
-    return TableFormat.operation(write)
-        .map(this::enqueue)
-        .orElseGet(() -> rejected("key or value is not valid text"));
+    return StoreLimits.refusal(write).map(WriteBatcher::rejected).orElseGet(() -> enqueue(write));
   }
 
-  private CompletableFuture<WriteResult> enqueue(byte[] operation) {
+  private CompletableFuture<WriteResult> enqueue(Write write) {
     if (waiting.incrementAndGet() > settings.batching().maxWaiting()) {
       waiting.decrementAndGet();
       return rejected("too many writes are waiting");
     }
     CompletableFuture<WriteResult> result = new CompletableFuture<>();
-    queue.add(new Pending(operation, timer.nanoTime(), result));
+    queue.add(new Pending(write, timer.nanoTime(), result));
     wake();
     return result.copy();
   }
@@ -89,8 +91,7 @@
   }
 
   private void reserve() {
-    Duration unlimited = Duration.ofNanos(Long.MAX_VALUE);
-    after(limiter.reserve(unlimited).orElse(Duration.ZERO), this::sendNext);
+    after(limiter.reserve(UNLIMITED).orElse(Duration.ZERO), this::sendNext);
   }
 
   private void sendNext() {
@@ -116,27 +117,73 @@
       continueSending();
       return;
     }
-    byte[] body = TableFormat.batch(batch.stream().map(Pending::operation).toList());
-    calls.send("POST", TableFormat.TABLE, body).thenAccept(reply -> onReply(batch, attempt, reply));
+    CompletableFuture<Void> unused =
+        transactions
+            .transact(batch.stream().map(Pending::write).toList())
+            .thenAccept(reply -> onReply(batch, attempt, reply));
   }
 
-  private void onReply(List<Pending> batch, int attempt, Reply reply) {
+  private void onReply(List<Pending> batch, int attempt, Reply<TransactionResult> reply) {
     circuit.observe(reply);
-    if (reply.hadNoEffect()) {
-      Optional<Duration> next = reply.isWorthRepeating() ? retries.next(attempt) : Optional.empty();
-      next.ifPresentOrElse(
-          delay -> after(delay, () -> send(batch, attempt + 1)),
-          () -> {
-            complete(batch, new WriteResult.Rejected(reply.detail()));
-            continueSending();
-          });
+    if (reply instanceof Reply.Answered<TransactionResult> answered) {
+      onResult(batch, answered.value());
       return;
     }
-    List<WriteResult> results = TableFormat.results(reply, batch.size());
-    for (int index = 0; index < batch.size(); index++) {
-      batch.get(index).result().complete(results.get(index));
+    Reply.Failed<TransactionResult> failed = (Reply.Failed<TransactionResult>) reply;
+    if (!failed.hadNoEffect()) {
+      complete(batch, new WriteResult.Ambiguous(failed.detail()));
+      continueSending();
+      return;
+    }
+    Optional<Duration> next = failed.isWorthRepeating() ? retries.next(attempt) : Optional.empty();
+    next.ifPresentOrElse(
+        delay -> after(delay, () -> send(batch, attempt + 1)),
+        () -> {
+          complete(batch, new WriteResult.Rejected(failed.detail()));
+          continueSending();
+        });
+  }
+
+  /**
+   * A transaction is refused as a whole: the writes whose own conditions fail get their conflict,
+   * and the others go into a further transaction.
+   */
+  private void onResult(List<Pending> batch, TransactionResult result) {
+    if (result instanceof TransactionResult.Committed committed) {
+      complete(batch, new WriteResult.Applied(committed.version()));
+      continueSending();
+      return;
+    }
+    Map<String, TableRow> current = new HashMap<>();
+    ((TransactionResult.Refused) result).current().forEach(row -> current.put(row.key(), row));
+    List<Pending> others = new ArrayList<>();
+    for (Pending pending : batch) {
+      Optional<TableRow> row = Optional.ofNullable(current.get(pending.write().key()));
+      if (holds(pending.write(), row)) {
+        others.add(pending);
+      } else {
+        pending.result().complete(new WriteResult.Conflict(row.map(StoreTable::row)));
+      }
+    }
+    if (others.size() == batch.size()) {
+      complete(batch, new WriteResult.Rejected("refused though all conditions hold"));
+      continueSending();
+    } else if (others.isEmpty()) {
+      continueSending();
+    } else {
+      after(limiter.reserve(UNLIMITED).orElse(Duration.ZERO), () -> send(others, 1));
+    }
+  }
+
+  private static boolean holds(Write write, Optional<TableRow> row) {
+    if (write instanceof Write.Insert) {
+      return row.isEmpty();
     }
-    continueSending();
+    long version =
+        write instanceof Write.Replace replace
+            ? replace.version()
+            : ((Write.Delete) write).version();
+    return row.filter(present -> present.version() == version).isPresent();
   }
 
   private void continueSending() {
@@ -147,21 +194,26 @@
     }
   }
 
+  /** Takes writes until the call is full or a second write to the same row comes. */
   private List<Pending> takeBatch() {
     List<Pending> batch = new ArrayList<>();
+    Set<String> keys = new HashSet<>();
     int bytes = 0;
     long oldestNanos = timer.nanoTime() - longestWait().toNanos();
-    while (batch.size() < settings.batching().maxRows() && bytes < MAX_BATCH_BYTES) {
-      Pending next = queue.poll();
-      if (next == null) {
+    for (Pending next = queue.peek(); next != null; next = queue.peek()) {
+      bytes += StoreLimits.encodedBytes(next.write());
+      boolean isFull =
+          batch.size() == settings.batching().maxRows() || bytes > StoreLimits.CALL_BYTES;
+      if (isFull || keys.contains(next.write().key())) {
         break;
       }
+      queue.remove();
       waiting.decrementAndGet();
       if (next.sinceNanos() < oldestNanos) {
         next.result().complete(new WriteResult.Rejected("waited too long to be sent"));
       } else {
         batch.add(next);
-        bytes += next.operation().length;
+        keys.add(next.write().key());
       }
     }
     return batch;
--- a/snipewick/src/main/java/org/snipewick/store/http/WriteShares.java
+++ b/snipewick/src/main/java/org/snipewick/store/access/WriteShares.java
@@ -1,4 +1,4 @@
-package org.snipewick.store.http;
+package org.snipewick.store.access;
 
 /**
  * Shares of one instance in the rate of writes that all instances together may send.
@@ -25,7 +25,7 @@
    * @param instances number of instances that share the platform
    * @return shares
    */
-  public static WriteShares withoutWriters(PlatformSettings settings, int instances) {
+  public static WriteShares withoutWriters(StoreSettings settings, int instances) {
     return new WriteShares(settings.writesPerSecondAmong(instances), 0);
   }
 
@@ -40,7 +40,7 @@
    * @param domains number of failure domains that they are in
    * @return shares
    */
-  public static WriteShares withWriters(PlatformSettings settings, int instances, int domains) {
+  public static WriteShares withWriters(StoreSettings settings, int instances, int domains) {
     double all = settings.allWritesPerSecond();
     double alone = settings.writesPerSecondAmong(instances);
     double direct = Math.min(alone, (1 - WRITERS_PART) * all / Math.max(1, instances));
--- a/snipewick/src/test/java/org/snipewick/store/http/RateLimiterTest.java
+++ b/snipewick/src/test/java/org/snipewick/store/access/RateLimiterTest.java
@@ -1,4 +1,4 @@
-package org.snipewick.store.http;
+package org.snipewick.store.access;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- /dev/null
+++ b/standins/src/main/java/org/snipewick/standins/platform/ObjectCalls.java
@@ -0,0 +1,84 @@
+package org.snipewick.standins.platform;
+
+import io.activej.http.HttpMethod;
+import io.activej.http.HttpResponse;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.snipewick.standins.server.Call;
+import org.snipewick.standins.server.Responses;
+
+/** The calls of the store on objects. */
+final class ObjectCalls {
+  private static final String WEIGHTS = "weights/";
+  private static final int MAX_BYTES = 8_388_608;
+  private static final int MAX_NAMES = 1_000;
+
+  private final TreeMap<String, byte[]> objects = new TreeMap<>();
+  private boolean areWeightsKnown;
+
+  /** Makes just these weights exist; until then any do. */
+  void weights(String[] names) {
+    areWeightsKnown = true;
+    objects.keySet().removeIf(name -> name.startsWith(WEIGHTS));
+    for (String name : names) {
+      objects.put(WEIGHTS + name, new byte[0]);
+    }
+  }
+
+  /** Serves a call on objects; empty if it is none. */
+  Optional<HttpResponse> serve(Call call) {
+    if (call.path().equals("/blob-list") && call.method() == HttpMethod.GET) {
+      return Optional.of(names(call));
+    }
+    if (call.method() == HttpMethod.GET) {
+      return call.pathAfter("/blob-get/").map(this::get);
+    }
+    if (call.method() == HttpMethod.DELETE) {
+      return call.pathAfter("/blob-drop/").map(this::drop);
+    }
+    return call.pathAfter("/blob-put/").map(name -> put(call, name));
+  }
+
+  private HttpResponse get(String name) {
+    byte[] content = objects.get(name);
+    return content == null
+        ? Responses.error(404, "no such object")
+        : HttpResponse.ok200().withBody(content);
+  }
+
+  private HttpResponse put(Call call, String name) {
+    if (call.body().length > MAX_BYTES) {
+      return Responses.error(413, "object is too long");
+    }
+    if (call.header("If-None-Match").isPresent() && objects.containsKey(name)) {
+      return Responses.error(412, "object exists");
+    }
+    objects.put(name, call.body());
+    return Responses.json(200, Map.of());
+  }
+
+  private HttpResponse drop(String name) {
+    objects.remove(name);
+    return Responses.json(200, Map.of());
+  }
+
+  private HttpResponse names(Call call) {
+    String prefix = call.query("prefix").orElse("");
+    if (prefix.startsWith(WEIGHTS) && !areWeightsKnown) {
+      return Responses.json(200, Map.of("names", List.of(prefix), "truncated", false));
+    }
+    String after = call.query("after").orElse("");
+    List<String> names =
+        objects.tailMap(prefix, true).keySet().stream()
+            .takeWhile(name -> name.startsWith(prefix))
+            .filter(name -> name.compareTo(after) > 0)
+            .toList();
+    boolean isTruncated = names.size() > MAX_NAMES;
+    return Responses.json(
+        200,
+        Map.of(
+            "names", isTruncated ? names.subList(0, MAX_NAMES) : names, "truncated", isTruncated));
+  }
+}
--- a/standins/src/main/java/org/snipewick/standins/server/StandInServer.java
+++ b/standins/src/main/java/org/snipewick/standins/server/StandInServer.java
@@ -176,7 +176,12 @@
     if (faults.refuse()) {
       return Promise.of(Responses.refused("refused"));
     }
-    boolean lost = faults.loseAnswers() && call.method() != HttpMethod.GET;
+    boolean isRead = call.method() == HttpMethod.GET;
+    if (faults.lateMillis() > 0 && !isRead) {
+      call.connection().abort();
+      return Promises.delay(faults.lateMillis()).then(() -> guarded(() -> standIn.serve(call)));
+    }
+    boolean lost = faults.loseAnswers() && !isRead;
     return guarded(() -> standIn.serve(call))
         .whenResult(
             () -> {
--- a/systemtests/src/test/java/org/snipewick/systemtests/DomainCutTest.java
+++ b/systemtests/src/test/java/org/snipewick/systemtests/DomainCutTest.java
@@ -22,6 +22,7 @@
 import org.snipewick.bench.cluster.TestCatalogue;
 import org.snipewick.entry.EntryProcess;
 import org.snipewick.event.EventType;
+import org.snipewick.platform.UsersPlatform;
 import org.snipewick.settings.SettingsReader;
 import org.snipewick.settings.SettingsResult;
 
@@ -53,6 +54,7 @@
         name,
         EntryProcess.start(
             ((SettingsResult.Valid) settings).settings(),
+            UsersPlatform.of(),
             network -> new CuttableNetwork(network, Cluster.domain(name), cut)));
     cluster
         .processes()
--- a/systemtests/src/test/java/org/snipewick/systemtests/platform/WriteThroughputTest.java
+++ b/systemtests/src/test/java/org/snipewick/systemtests/platform/WriteThroughputTest.java
@@ -11,7 +11,7 @@
 import org.snipewick.store.Table;
 import org.snipewick.store.Write;
 import org.snipewick.store.WriteResult.Applied;
-import org.snipewick.store.http.PlatformSettings.Batching;
+import org.snipewick.store.access.StoreSettings.Batching;
 
 /** Measures rows written per second under the platform's write rate, with and without batches. */
 final class WriteThroughputTest {
