Send store calls on the loop's thread; answer nothing inside a stream

Two faults, each with a test that failed first.

An ActiveJ event loop that has not started takes every thread for its own, so the first call ran on the caller's thread and raced with the selector. Ruled out: the store's answers, as nothing arrived there; the test's time-out, as single calls on a running loop take milliseconds. Change: the client gets an executor; the own interface always posts to the loop, the front, which lives on its loop, runs at once.

A broken or ill-framed stream of an endpoint reached the HTTP server as a framing fault, which it answered with 400 inside the caller's chunked body. Ruled out: the endpoint's own bytes, as a stream that simply ends shows it too. Change: a stream that breaks ends by a failure of its own type. All 6 new cases failed before and pass now.

--- a/snipewick/src/main/java/org/snipewick/fleet/Registration.java
+++ b/snipewick/src/main/java/org/snipewick/fleet/Registration.java
@@ -66,6 +66,9 @@
         .whenComplete(
             (version, thrown) -> {
               if (thrown == null) {
+                if (hasFailed) {
+                  events.record(EventType.TABLE_REGAINED, FleetMember.TABLE);
+                }
                 events.record(EventType.INSTANCE_REGISTERED, "", Map.of("incarnation", version));
                 registered.complete(version);
               } else {
--- a/snipewick/src/main/java/org/snipewick/platform/FrontProcess.java
+++ b/snipewick/src/main/java/org/snipewick/platform/FrontProcess.java
@@ -99,7 +99,8 @@
     HealthServer.listen(eventloop, settings.health(), this::isReady, text::write);
     follow(
         DirectStore.of(
-            StoreClient.of(eventloop, transport, settings.store(), STORE_TIMEOUT, () -> {})));
+            StoreClient.of(
+                eventloop, Runnable::run, transport, settings.store(), STORE_TIMEOUT, () -> {})));
   }
 
   /**
--- a/snipewick/src/main/java/org/snipewick/platform/StoreClient.java
+++ b/snipewick/src/main/java/org/snipewick/platform/StoreClient.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
 import java.util.function.Supplier;
 import org.snipewick.store.RowChanges;
 import org.snipewick.store.RowPage;
@@ -41,7 +42,7 @@
   private static final int SERVER_ERROR = 500;
   private static final int UNAVAILABLE = 503;
 
-  private final Eventloop eventloop;
+  private final Executor loop;
   private final HttpTransport transport;
   private final TimerService timer;
   private final String address;
@@ -50,11 +51,12 @@
 
   private StoreClient(
       Eventloop eventloop,
+      Executor loop,
       HttpTransport transport,
       InetSocketAddress address,
       Duration timeout,
       Runnable end) {
-    this.eventloop = requireNonNull(eventloop, "eventloop");
+    this.loop = requireNonNull(loop, "loop");
     this.transport = requireNonNull(transport, "transport");
     this.timeout = requireNonNull(timeout, "timeout");
     this.end = requireNonNull(end, "end");
@@ -66,6 +68,8 @@
    * Creates a client on an event loop that runs already or will.
    *
    * @param eventloop event loop made for monotonic time
+   * @param loop runs tasks on the event loop's thread; may run them at once if the client is used
+   *     on that thread alone
    * @param transport HTTP client on that loop
    * @param address address of the store
    * @param timeout time until a call's whole answer, beyond what the store was asked to wait
@@ -74,11 +78,12 @@
    */
   static StoreClient of(
       Eventloop eventloop,
+      Executor loop,
       HttpTransport transport,
       InetSocketAddress address,
       Duration timeout,
       Runnable end) {
-    return new StoreClient(eventloop, transport, address, timeout, end);
+    return new StoreClient(eventloop, loop, transport, address, timeout, end);
   }
 
   private record Answer(int status, byte[] body) {}
@@ -151,7 +156,7 @@
 
   @Override
   public void close() {
-    eventloop.execute(end);
+    loop.execute(end);
   }
 
   private <T> CompletableFuture<Reply<T>> get(String path, Duration limit, Decoder<T> decoder) {
@@ -177,12 +182,7 @@
   private <T> CompletableFuture<Reply<T>> call(
       Supplier<HttpRequest> request, Duration limit, Decoder<T> decoder, int expected) {
     CompletableFuture<Reply<T>> result = new CompletableFuture<>();
-    Runnable send = () -> send(request.get(), limit, decoder, expected, result);
-    if (eventloop.inEventloopThread()) {
-      send.run();
-    } else {
-      eventloop.execute(send);
-    }
+    loop.execute(() -> send(request.get(), limit, decoder, expected, result));
     return result;
   }
 
--- a/snipewick/src/main/java/org/snipewick/platform/UsersPlatform.java
+++ b/snipewick/src/main/java/org/snipewick/platform/UsersPlatform.java
@@ -37,6 +37,7 @@
     Duration timeout = Duration.ofMillis(settings.timeoutMillis());
     StoreClient client =
         StoreClient.of(
+            eventloop,
             eventloop,
             HttpTransport.of(eventloop, timeout, MAX_BODY_BYTES),
             new InetSocketAddress(settings.host(), settings.port()),
--- a/snipewick/src/main/java/org/snipewick/relay/RelayDispatcher.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayDispatcher.java
@@ -2,12 +2,8 @@
 
 import static java.util.Objects.requireNonNull;
 
-import io.activej.bytebuf.ByteBuf;
-import io.activej.csp.ChannelSupplier;
-import io.activej.csp.ChannelSuppliers;
 import io.activej.http.HttpResponse;
 import io.activej.promise.Promise;
-import io.activej.promise.SettablePromise;
 import java.time.Duration;
 import java.util.Collection;
 import java.util.HashMap;
@@ -34,7 +30,7 @@
  * Takes requests to endpoints: lets them wait for a place, sends them, sends those once more that
  * may be, and gives up what can no longer be answered. On one event loop.
  */
-final class RelayDispatcher {
+final class RelayDispatcher implements StreamDispatch.Calls {
   /** Places that others free, and pauses of endpoints that end, are noticed after this time. */
   private static final Duration REVIEW_PERIOD = Duration.ofMillis(20);
 
@@ -46,6 +42,7 @@
   private final RelayServices services;
   private final EndpointRequests requests;
   private final RelayRecords records;
+  private final StreamDispatch streams;
   private final Map<PoolName, PoolPlacement> pools = new HashMap<>();
   private final Map<PoolName, RepeatBudget> budgets = new HashMap<>();
   private final Map<String, RelayCall> waiting = new HashMap<>();
@@ -57,6 +54,7 @@
     this.services = requireNonNull(services, "services");
     this.requests = new EndpointRequests(services.names());
     this.records = new RelayRecords(services);
+    this.streams = new StreamDispatch(this, records, services.timer());
   }
 
   /** Sets which other instances share endpoints and the budget of repeats. */
@@ -140,7 +138,8 @@
     decide(call.pool());
   }
 
-  private void decide(PoolName name) {
+  @Override
+  public void decide(PoolName name) {
     PoolPlacement pool = pool(name);
     for (PlacementDecision decision : pool.decide(now())) {
       RelayCall call = waiting.remove(decision.request().id());
@@ -228,7 +227,7 @@
       attempt.end(Ended.FAILED, now());
       repeat(call, attempt, "endpoint failed: " + head.status());
     } else if (call.route().kind() == CallKind.STREAM && head.status() == OK) {
-      stream(call, attempt, head, response.takeBodyStream());
+      streams.passOn(call, attempt, head, response.takeBodyStream());
     } else if (call.stream().isPresent()) {
       attempt.exchange().cancel();
       broke(call, attempt, "endpoint did not resume the stream: " + head.status());
@@ -258,81 +257,6 @@
             });
   }
 
-  /** Passes a stream on; the response begins with the first bytes, as until then it may fail. */
-  private void stream(
-      RelayCall call, RelayAttempt attempt, EndpointHead head, ChannelSupplier<ByteBuf> body) {
-    body.get()
-        .run(
-            (first, thrown) -> {
-              if (call.isOver()) {
-                attempt.cancel(now());
-              } else if (thrown != null) {
-                broke(call, attempt, thrown.toString());
-              } else {
-                attempt.promptRead();
-                ChannelSupplier<ByteBuf> all =
-                    first == null ? body : ChannelSuppliers.concat(ChannelSupplier.of(first), body);
-                begin(call, attempt, head, all);
-              }
-            });
-  }
-
-  private void begin(
-      RelayCall call, RelayAttempt attempt, EndpointHead head, ChannelSupplier<ByteBuf> body) {
-    Optional<SettablePromise<ChannelSupplier<ByteBuf>>> resumption = call.takeResumption();
-    if (resumption.isPresent()) {
-      resumption.get().set(body);
-      return;
-    }
-    records.firstEvent(call, now());
-    RelayStream stream =
-        new RelayStream(call.route().isResumable(), services.timer(), listener(call, head));
-    stream.readFrom(body);
-    call.streaming(stream);
-    call.response().trySet(RelayResponses.streamed(head.status(), head.headers(), stream));
-  }
-
-  private RelayStream.Listener listener(RelayCall call, EndpointHead head) {
-    return new RelayStream.Listener() {
-      @Override
-      public void whole() {
-        call.attempt()
-            .ifPresent(
-                attempt -> {
-                  attempt.streamed(call.stream().flatMap(RelayStream::nanosPerPiece));
-                  attempt.end(Ended.ANSWERED, now());
-                });
-        succeed(call, head.status());
-        decide(call.pool());
-      }
-
-      @Override
-      public Promise<ChannelSupplier<ByteBuf>> resume(Exception thrown) {
-        return resumeElsewhere(call, thrown);
-      }
-
-      @Override
-      public void closed() {
-        if (!call.isOver()) {
-          records.streamBroken(call, now());
-          end(call);
-        }
-      }
-    };
-  }
-
-  private Promise<ChannelSupplier<ByteBuf>> resumeElsewhere(RelayCall call, Exception thrown) {
-    Optional<RelayAttempt> broken = call.attempt();
-    broken.ifPresent(attempt -> attempt.end(Ended.FAILED, now()));
-    if (call.isOver() || broken.isEmpty() || !mayRepeat(call)) {
-      return Promise.ofException(thrown);
-    }
-    SettablePromise<ChannelSupplier<ByteBuf>> resumption = new SettablePromise<>();
-    call.awaitResumption(resumption);
-    repeat(call, broken.get(), "stream broke off: " + thrown);
-    return resumption;
-  }
-
   private void rejected(RelayCall call, RelayAttempt attempt, EndpointHead head) {
     attempt.end(head.isMisdirected() ? Ended.MISDIRECTED : Ended.REJECTED, now());
     call.wasNotRun();
@@ -348,7 +272,8 @@
     decide(call.pool());
   }
 
-  private void broke(RelayCall call, RelayAttempt attempt, String detail) {
+  @Override
+  public void broke(RelayCall call, RelayAttempt attempt, String detail) {
     if (call.isOver()) {
       attempt.cancel(now());
       return;
@@ -368,14 +293,16 @@
     decide(call.pool());
   }
 
-  private boolean mayRepeat(RelayCall call) {
+  @Override
+  public boolean mayRepeat(RelayCall call) {
     return call.route().isIdempotent()
         && call.attempts() < call.route().maxAttempts()
         && now() - call.deadlineNanos() < 0
         && budget(call.pool()).tryRepeat(now());
   }
 
-  private void repeat(RelayCall call, RelayAttempt failed, String detail) {
+  @Override
+  public void repeat(RelayCall call, RelayAttempt failed, String detail) {
     records.repeated(call, failed, detail, now());
     enqueue(call);
   }
@@ -392,7 +319,8 @@
             : Failure.notRun(FailureType.DEADLINE_UNREACHABLE, "no place in the agreed time"));
   }
 
-  private void succeed(RelayCall call, int status) {
+  @Override
+  public void succeed(RelayCall call, int status) {
     records.delivered(call, status, now());
     call.endAttempt();
     call.finish();
@@ -407,8 +335,8 @@
     call.fail(failure);
   }
 
-  /** Gives back all that a call holds. */
-  private void end(RelayCall call) {
+  @Override
+  public void end(RelayCall call) {
     call.finish();
     waiting.remove(call.ticket());
     PoolPlacement pool = pool(call.pool());
--- a/snipewick/src/main/java/org/snipewick/relay/RelayStream.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayStream.java
@@ -7,6 +7,9 @@
 import io.activej.csp.ChannelSupplier;
 import io.activej.promise.Promise;
 import java.util.Optional;
+import org.snipewick.failure.Failure;
+import org.snipewick.failure.FailureException;
+import org.snipewick.failure.FailureType;
 import org.snipewick.time.TimerService;
 
 /**
@@ -112,9 +115,16 @@
             this::fail);
   }
 
+  /**
+   * Ends the body by a failure of its own type: the HTTP server takes a framing fault that it meets
+   * for one of the caller's and would answer it in the middle of this body.
+   */
   private Promise<ByteBuf> fail(Exception thrown) {
-    closeEx(thrown);
-    return Promise.ofException(thrown);
+    FailureException failure =
+        Failure.unknown(FailureType.ANSWER_INCOMPLETE, "endpoint's stream broke off: " + thrown)
+            .toException();
+    closeEx(failure);
+    return Promise.ofException(failure);
   }
 
   @Override
--- a/snipewick/src/test/java/org/snipewick/relay/RelayServerTest.java
+++ b/snipewick/src/test/java/org/snipewick/relay/RelayServerTest.java
@@ -6,6 +6,7 @@
 import java.net.Socket;
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -18,6 +19,9 @@
 class RelayServerTest {
   private static final Duration SOON = Duration.ofSeconds(3);
 
+  /** Lets the relay pass on what was written before. */
+  private static final long PAUSE_NANOS = 50_000_000;
+
   private final RelayFixture relay =
       new RelayFixture(
           Plans.plan(
@@ -199,6 +203,26 @@
         .endsWith("<end>");
   }
 
+  @ParameterizedTest
+  @ValueSource(strings = {"", "zz\r\n", "5", "5\r\nab", "7\r\nid: 2\n\nXX", "HTTP/1.1 200 OK\r\n"})
+  void shouldSendNothingButTheEventsWhenFramingOfStreamBreaks(String rest) throws IOException {
+    String event = chunk("id: 1\n\n");
+    ScriptedEndpoint endpoint =
+        ScriptedEndpoint.start(
+            (request, caller) -> {
+              ScriptedEndpoint.write(caller, STREAM_HEAD + event);
+              LockSupport.parkNanos(PAUSE_NANOS);
+              ScriptedEndpoint.write(caller, rest);
+              caller.close();
+            });
+    relay.endpoints("stream", endpoint);
+    assertThat(relay.exchange(request("GET", "/stream/", "")))
+        .contains("\r\n\r\n" + event)
+        .doesNotContain("\r\n0\r\n")
+        .doesNotContain("Bad Request")
+        .endsWith("<end>");
+  }
+
   @Test
   void shouldGoOnBehindTheLastWholeEventWhenResumableStreamBreaks() throws IOException {
     ScriptedEndpoint broken =
--- a/systemtests/src/test/java/org/snipewick/systemtests/platform/StoreWatchTest.java
+++ b/systemtests/src/test/java/org/snipewick/systemtests/platform/StoreWatchTest.java
@@ -162,5 +162,6 @@
     assertThat(next).isGreaterThan(incarnation);
     assertThat(events).contains(EventType.INSTANCE_REGISTERED);
     assertThat(events.contains(EventType.TABLE_LOST)).isEqualTo(!faults.equals("{}"));
+    assertThat(events.contains(EventType.TABLE_REGAINED)).isEqualTo(!faults.equals("{}"));
   }
 }
