Test the front as a process beside the store's real calls

Ruled out: a test on the event loop of one JVM, which gets no signals and has no end of its own.

Change: FrontInstance starts the stand-in store and the front as processes.

--- a/bench/src/main/java/org/snipewick/bench/cluster/ChildProcess.java
+++ b/bench/src/main/java/org/snipewick/bench/cluster/ChildProcess.java
@@ -128,6 +128,11 @@
     signal("-CONT");
   }
 
+  /** Tells the process that its settings file has changed. */
+  public void reload() {
+    signal("-HUP");
+  }
+
   /** Asks the process to end in a planned way, without waiting. */
   public void terminate() {
     process.destroy();
--- /dev/null
+++ b/bench/src/main/java/org/snipewick/bench/cluster/FrontInstance.java
@@ -0,0 +1,156 @@
+package org.snipewick.bench.cluster;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static java.util.Objects.requireNonNull;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Base64;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+
+/** The front of the users' platform as a process, beside a stand-in store as another one. */
+public final class FrontInstance implements AutoCloseable {
+  private static final Duration START = Duration.ofSeconds(30);
+  private static final String SETTINGS =
+      """
+      node: front-1
+      ip: 127.0.0.1
+      zone: a
+      region: r
+      listen:
+        front: "127.0.0.1:%d"
+        ready: "127.0.0.1:%d"
+      port_range: [%d, %d]
+      first_start: true
+      bounds:
+        revoke_ms: 5000
+        grace_s: 8
+        retry_budget_ratio: 0.2
+        budget_window_s: 10
+        budget_slack: 56
+        quota_window_s: 8
+        quota_over: 0.1
+        quota_slack: 140000
+      provider:
+        address: "127.0.0.1:%d"
+      """;
+
+  private final int callersPort = FreePorts.next();
+  private final int readyPort = FreePorts.next();
+  private final int storePort = FreePorts.next();
+  private final Path directory = ChildProcess.newDirectory();
+  private final ChildProcess store;
+  private final ChildProcess process;
+
+  private FrontInstance() {
+    store =
+        ChildProcess.start(
+            directory,
+            "platform",
+            "standins",
+            List.of("platform", "--port", Integer.toString(storePort)),
+            "");
+    store.awaitReady();
+    process =
+        ChildProcess.start(
+            directory,
+            "front",
+            "snipewick",
+            List.of("front", "--settings", settingsFile().toString()),
+            "");
+  }
+
+  /**
+   * Starts both; the front is not ready before the store holds a plan and an endpoint.
+   *
+   * @return running instance
+   */
+  public static FrontInstance start() {
+    return new FrontInstance();
+  }
+
+  private Path settingsFile() {
+    int peers = FreePorts.next();
+    String text = SETTINGS.formatted(callersPort, readyPort, peers, peers, storePort);
+    try {
+      return Files.writeString(directory.resolve("node.yaml"), text);
+    } catch (IOException failure) {
+      throw new UncheckedIOException(failure);
+    }
+  }
+
+  /**
+   * Writes a row of the store, whatever stands there.
+   *
+   * @param table name of the table
+   * @param key key of the row
+   * @param content content as text
+   */
+  public void put(String table, String key, String content) {
+    String value = Base64.getEncoder().encodeToString(content.getBytes(UTF_8));
+    String row =
+        "{\"table\":\"%s\",\"part\":\"\",\"key\":\"%s\",\"value\":\"%s\"}"
+            .formatted(requireNonNull(table, "table"), requireNonNull(key, "key"), value);
+    String body = "{\"expected_rev\":[],\"writes\":[" + row + "],\"remove\":[]}";
+    Http.requireSuccess(Http.await("POST", storeUrl("/rows-tx"), body, Map.of()), "row");
+  }
+
+  /**
+   * Replaces the faults of the store.
+   *
+   * @param json faults, of which those left out are off
+   */
+  public void storeFaults(String json) {
+    Http.requireSuccess(Http.await("PUT", storeUrl("/control/faults"), json, Map.of()), "faults");
+  }
+
+  private String storeUrl(String path) {
+    return "http://127.0.0.1:" + storePort + path;
+  }
+
+  /**
+   * Sends a request.
+   *
+   * @param path path
+   * @param headers headers by name
+   * @return answer
+   */
+  public CompletableFuture<HttpResponse<String>> ask(String path, Map<String, String> headers) {
+    return Http.send("GET", "http://127.0.0.1:" + callersPort + path, "", headers);
+  }
+
+  /**
+   * Tells whether the balancer would send callers here.
+   *
+   * @return whether the front says that it is ready
+   */
+  public boolean isReady() {
+    return Http.isUp("http://127.0.0.1:" + readyPort + "/ready");
+  }
+
+  /** Waits until the front says that it is ready. */
+  public void awaitReady() {
+    Await.until(START, () -> "front is ready: " + process.log(), this::isReady);
+  }
+
+  /**
+   * Returns the process of the front.
+   *
+   * @return process
+   */
+  public ChildProcess process() {
+    return process;
+  }
+
+  @Override
+  public void close() {
+    process.close();
+    store.close();
+  }
+}
