--- a/bench/src/main/java/org/snipewick/bench/cluster/FrontInstance.java
+++ b/bench/src/main/java/org/snipewick/bench/cluster/FrontInstance.java
@@ -17,29 +17,9 @@
 /** The front of the users' platform as a process, beside a stand-in store as another one. */
 public final class FrontInstance implements AutoCloseable {
   private static final Duration START = Duration.ofSeconds(30);
-  private static final String SETTINGS =
-      """
-      node: front-1
-      ip: 127.0.0.1
-      zone: a
-      region: r
-      listen:
-        front: "127.0.0.1:%d"
-        ready: "127.0.0.1:%d"
-      port_range: [%d, %d]
-      first_start: true
-      bounds:
-        revoke_ms: 5000
-        grace_s: 8
-        retry_budget_ratio: 0.2
-        budget_window_s: 10
-        budget_slack: 56
-        quota_window_s: 8
-        quota_over: 0.1
-        quota_slack: 140000
-      provider:
-        address: "127.0.0.1:%d"
-      """;
+
+  /** Settings with marks in place of ports, from which the class-data archive is made too. */
+  private static final Path SETTINGS = ChildProcess.binaryFile("../deploy/training/settings.yaml");
 
   private final int callersPort = FreePorts.next();
   private final int readyPort = FreePorts.next();
@@ -49,21 +29,10 @@
   private final ChildProcess process;
 
   private FrontInstance() {
-    store =
-        ChildProcess.start(
-            directory,
-            "platform",
-            "standins",
-            List.of("platform", "--port", Integer.toString(storePort)),
-            "");
-    store.awaitReady();
-    process =
-        ChildProcess.start(
-            directory,
-            "front",
-            "snipewick",
-            List.of("front", "--settings", settingsFile().toString()),
-            "");
+    Processes processes = new Processes(directory);
+    processes.standIn("platform", List.of("platform", "--port", Integer.toString(storePort)));
+    store = processes.find("platform");
+    process = processes.front("front-1", settingsFile());
   }
 
   /**
@@ -76,9 +45,13 @@
   }
 
   private Path settingsFile() {
-    int peers = FreePorts.next();
-    String text = SETTINGS.formatted(callersPort, readyPort, peers, peers, storePort);
     try {
+      String text =
+          Files.readString(SETTINGS)
+              .replace("@CALLERS@", Integer.toString(callersPort))
+              .replace("@READY@", Integer.toString(readyPort))
+              .replace("@PEERS@", Integer.toString(FreePorts.next()))
+              .replace("@STORE@", Integer.toString(storePort));
       return Files.writeString(directory.resolve("node.yaml"), text);
     } catch (IOException failure) {
       throw new UncheckedIOException(failure);
--- a/bench/src/main/java/org/snipewick/bench/cluster/Processes.java
+++ b/bench/src/main/java/org/snipewick/bench/cluster/Processes.java
@@ -57,10 +57,19 @@
 
   /** Starts an entry instance, for the first time or again. */
   void entry(String name, Path settings) {
+    entries.put(name, product("entry", name, settings));
+  }
+
+  /** Starts a front of the users' platform. */
+  ChildProcess front(String name, Path settings) {
+    return product("front", name, settings);
+  }
+
+  private ChildProcess product(String command, String name, Path settings) {
     ChildProcess process =
-        start(name, PRODUCT, List.of("entry", "--settings", settings.toString()));
+        start(name, PRODUCT, List.of(command, "--settings", settings.toString()));
     byName.put(name, process);
-    entries.put(name, process);
+    return process;
   }
 
   private ChildProcess start(String name, String binary, List<String> arguments) {
--- a/snipewick/src/test/java/org/snipewick/quota/QuotaLedgerTest.java
+++ b/snipewick/src/test/java/org/snipewick/quota/QuotaLedgerTest.java
@@ -117,6 +117,25 @@
     assertThat(spent).isGreaterThan(7_000);
   }
 
+  /**
+   * All processes are killed at once; the earlier ones spent the whole limit in their last second.
+   */
+  @Test
+  void shouldSpendNothingMoreWhenLimitWasSpentRightBeforeAllProcessesStartedAgain() {
+    final double spentByEarlierProcesses = 9_000;
+    QuotaLedger restarted = QuotaLedger.of(timer, EXACT, true);
+    restarted.listed(Set.of(OTHER));
+    double spent = 0;
+    for (int second = 0; second < 7; second++) {
+      restarted.report(OTHER, Optional.of(Duration.ofSeconds(second)), Map.of());
+      while (restarted.trySpend(PLAN, 100).isEmpty()) {
+        spent += 100;
+      }
+      timer.advance(Duration.ofSeconds(1));
+    }
+    assertThat(spentByEarlierProcesses + spent).isLessThanOrEqualTo(9_000);
+  }
+
   @Test
   void shouldUsePartOfTheToleranceWhenBoundsHaveOne() {
     QuotaBounds bounds = new QuotaBounds(Duration.ofSeconds(8), 0.1, 1_000);
