Remove an unused method and correct a comment

Cause: reading the change as a newcomer found Reply.Failed.cast, which nothing calls, and a comment of the stand-in's RowStore that told what an earlier version of the method returned.

Ruled out: a caller by reflection, as records of replies are never serialized.

Change: the method is removed and the comment says what the method tells. Nothing of what runs is changed.

--- a/snipewick/src/main/java/org/snipewick/store/access/Reply.java
+++ b/snipewick/src/main/java/org/snipewick/store/access/Reply.java
@@ -52,16 +52,6 @@
     public Failed {
       requireNonNull(detail, "detail");
     }
-
-    /**
-     * Returns these circumstances for a call with another type of answer.
-     *
-     * @param <S> type of that answer
-     * @return the same failure
-     */
-    public <S> Failed<S> cast() {
-      return new Failed<>(detail, hadNoEffect, isWorthRepeating, showsStoreAlive);
-    }
   }
 
   /**
--- a/standins/src/main/java/org/snipewick/standins/platform/RowStore.java
+++ b/standins/src/main/java/org/snipewick/standins/platform/RowStore.java
@@ -70,7 +70,7 @@
         .count();
   }
 
-  /** Returns the rows of the conditions that do not hold; empty if all hold. */
+  /** Tells whether all conditions hold. */
   boolean hold(List<Condition> conditions) {
     return conditions.stream()
         .allMatch(condition -> current(condition).map(Row::ver).orElse(0L) == condition.ver());
