--- a/snipewick/src/main/java/org/snipewick/fleet/Fleet.java
+++ b/snipewick/src/main/java/org/snipewick/fleet/Fleet.java
@@ -5,15 +5,19 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
+import java.util.function.BiConsumer;
 import java.util.function.Supplier;
 import org.snipewick.event.EventLog;
 import org.snipewick.event.EventType;
 import org.snipewick.identity.InstanceId;
+import org.snipewick.peer.PeerMessage;
 import org.snipewick.peer.PeerNetwork;
 import org.snipewick.store.MalformedRow;
 import org.snipewick.store.MirrorListener;
@@ -23,31 +27,35 @@
 import org.snipewick.time.TimerService;
 
 /**
- * Peers as registered in the store, and the periodic exchange of reports with them. Not
- * thread-safe: all calls must run on one thread, on which the listener is notified too.
+ * Peers as registered in the store, and the periodic exchange of reports with them: each instance
+ * reports to the collector of its group, the collectors exchange the sums over their groups, and
+ * each instance receives the sum over all others. Not thread-safe: all calls must run on one
+ * thread, on which the listener is notified too.
  */
 public final class Fleet implements MirrorListener {
-  /** Short compared to the time that a request spends at an endpoint. */
-  private static final Duration MIN_REPORT_PERIOD = Duration.ofMillis(100);
+  /** Time for the sums of a collector to arrive, in addition to a few report periods. */
+  private static final Duration COLLECTOR_TIMEOUT_MARGIN = Duration.ofMillis(300);
 
-  /**
-   * Bounds the reports that an instance sends, and those that it handles; they cost about half a
-   * percent of a core.
-   */
-  private static final long MAX_REPORTS_PER_SECOND = 100;
-
-  private static final long MILLIS_PER_SECOND = 1000;
+  private static final int COLLECTOR_TIMEOUT_PERIODS = 3;
 
-  private final InstanceId self;
+  private final FleetMember self;
   private final PeerNetwork network;
   private final TimerService timer;
   private final EventLog events;
   private final Supplier<FleetMessages.Report> reports;
   private final Listener listener;
+  private final ReportAggregator aggregator;
+  private final CollectorChoice choice;
   private final Map<InstanceId, FleetMember> peers = new HashMap<>();
 
+  /** Index of the candidate of each group that is tried while its collector is unknown. */
+  private final Map<String, Integer> triedCandidates = new HashMap<>();
+
+  private FleetGroups groups;
+
   private Fleet(
-      InstanceId self,
+      FleetMember self,
+      Duration quotaWindow,
       PeerNetwork network,
       TimerService timer,
       EventLog events,
@@ -59,9 +67,12 @@
     this.events = requireNonNull(events, "events");
     this.reports = requireNonNull(reports, "reports");
     this.listener = requireNonNull(listener, "listener");
+    this.aggregator = ReportAggregator.of(quotaWindow);
+    this.choice = new CollectorChoice(self.instance(), timer.nanoTime());
+    this.groups = FleetGroups.of(self, List.of());
   }
 
-  /** Receiver of the registered peers and of their reports. */
+  /** Receiver of the registered peers and of the sums over them. */
   public interface Listener {
 
     /**
@@ -72,45 +83,67 @@
     void onPeers(Set<InstanceId> instances);
 
     /**
-     * Receives a report.
+     * Receives the sum over all other instances.
      *
-     * @param from peer that sent it
-     * @param report report
+     * @param totals sum, which replaces the one received before
      */
-    void onReport(InstanceId from, FleetMessages.Report report);
+    void onPeerTotals(PeerTotals totals);
+
+    /**
+     * Receives the sum over the group whose reports this instance collects.
+     *
+     * @param group name of the group
+     * @param totals sum over the group, this instance included
+     */
+    void onGroupTotals(String group, Totals totals);
   }
 
   /**
    * Starts to exchange reports.
    *
-   * @param self name of this instance
-   * @param network connections to peers, whose handler of reports is set
+   * @param self this instance
+   * @param quotaWindow length of the window of quotas
+   * @param network connections to peers, whose handlers of reports and sums are set
    * @param executor executor that runs tasks on the thread of the fleet
    * @param timer source of time
    * @param events log to which changes of the registered peers are written
    * @param reports supplies the current report of this instance
-   * @param listener receives the registered peers and their reports
+   * @param listener receives the registered peers and the sums over them
    * @return fleet without peers, which listens to a mirror of {@link FleetMember#TABLE}
    */
   public static Fleet start(
-      InstanceId self,
+      FleetMember self,
+      Duration quotaWindow,
       PeerNetwork network,
       Executor executor,
       TimerService timer,
       EventLog events,
       Supplier<FleetMessages.Report> reports,
       Listener listener) {
-    Fleet fleet = new Fleet(self, network, timer, events, reports, listener);
-    network.handle(
+    Fleet fleet = new Fleet(self, quotaWindow, network, timer, events, reports, listener);
+    fleet.handle(
         FleetMessages.Report.class,
-        (from, message) -> {
-          executor.execute(() -> listener.onReport(from, message));
-          return java.util.concurrent.CompletableFuture.completedFuture(null);
-        });
+        executor,
+        (from, report) -> fleet.aggregator.addReport(from, report, timer.nanoTime()));
+    fleet.handle(
+        FleetMessages.GroupSum.class,
+        executor,
+        (from, sum) -> fleet.aggregator.addGroupSum(from, sum, timer.nanoTime()));
+    fleet.handle(FleetMessages.PeerSum.class, executor, fleet::onPeerSum);
     fleet.scheduleReport();
     return fleet;
   }
 
+  private <T extends PeerMessage> void handle(
+      Class<T> type, Executor executor, BiConsumer<InstanceId, T> handler) {
+    network.handle(
+        type,
+        (from, message) -> {
+          executor.execute(() -> handler.accept(from, message));
+          return CompletableFuture.completedFuture(null);
+        });
+  }
+
   /**
    * Returns the registered peers.
    *
@@ -121,23 +154,96 @@
   }
 
   private void scheduleReport() {
-    long millis = peers.size() * MILLIS_PER_SECOND / MAX_REPORTS_PER_SECOND;
-    Duration period = Duration.ofMillis(Math.max(MIN_REPORT_PERIOD.toMillis(), millis));
-    timer.after(period, this::sendReport);
+    timer.after(groups.reportPeriod(), this::exchangeReports);
   }
 
-  private void sendReport() {
-    FleetMessages.Report message = reports.get();
-    peers.keySet().forEach(peer -> network.send(peer, message));
+  private void exchangeReports() {
+    final long now = timer.nanoTime();
+    final FleetMessages.Report report = reports.get();
+    choice.replaceSilent(collectorTimeout(), now);
+    InstanceId collector = choice.collector();
+    if (collector.equals(self.instance())) {
+      aggregator.addReport(self.instance(), report, now);
+    } else {
+      network.send(collector, report);
+    }
+    choice.preferredToRetry(now).stream()
+        .filter(peers::containsKey)
+        .forEach(preferred -> network.send(preferred, report));
+    aggregator.removeExpired(now);
+    Set<InstanceId> reporting = aggregator.reporting(now);
+    if (!reporting.isEmpty()) {
+      sendSums(reporting, report.uptimeMillis(), now);
+    }
     scheduleReport();
   }
 
+  private Duration collectorTimeout() {
+    return groups
+        .reportPeriod()
+        .multipliedBy(COLLECTOR_TIMEOUT_PERIODS)
+        .plus(COLLECTOR_TIMEOUT_MARGIN);
+  }
+
+  /** Sends the sums of this collector to its group and to the collectors of the other groups. */
+  private void sendSums(Set<InstanceId> reporting, long uptimeMillis, long nowNanos) {
+    Totals groupTotals = aggregator.groupTotals(nowNanos);
+    FleetMessages.GroupSum sum =
+        new FleetMessages.GroupSum(groups.ownGroup(), uptimeMillis, groupTotals);
+    for (String group : groups.otherGroups()) {
+      collectorsOf(group, nowNanos).forEach(collector -> network.send(collector, sum));
+    }
+    listener.onGroupTotals(groups.ownGroup(), groupTotals);
+    Totals all = groupTotals.plus(aggregator.otherGroupTotals(nowNanos));
+    for (InstanceId instance : reporting) {
+      FleetMessages.PeerSum peerSum =
+          new FleetMessages.PeerSum(
+              all.minus(aggregator.contribution(instance, nowNanos)),
+              aggregator.isHistoryKnown(instance));
+      if (instance.equals(self.instance())) {
+        notifyListener(peerSum);
+      } else if (peers.containsKey(instance)) {
+        network.send(instance, peerSum);
+      }
+    }
+  }
+
+  private Set<InstanceId> collectorsOf(String group, long nowNanos) {
+    Set<InstanceId> collectors = new HashSet<>(aggregator.collectors(group, nowNanos));
+    collectors.retainAll(peers.keySet());
+    if (collectors.isEmpty()) {
+      List<InstanceId> candidates = groups.candidates().get(group);
+      int tried = triedCandidates.merge(group, 1, Integer::sum);
+      collectors.add(candidates.get(Math.floorMod(tried - 1, candidates.size())));
+    }
+    return collectors;
+  }
+
+  private void onPeerSum(InstanceId from, FleetMessages.PeerSum sum) {
+    if (choice.onSum(from, timer.nanoTime())) {
+      notifyListener(sum);
+    }
+  }
+
+  private void notifyListener(FleetMessages.PeerSum sum) {
+    listener.onPeerTotals(
+        new PeerTotals(sum.totals(), sum.isHistoryKnown(), groups.validity(), groups.lag()));
+  }
+
+  private void onPeersChanged() {
+    groups = FleetGroups.of(self, peers.values());
+    aggregator.setValidity(groups.validity());
+    choice.setCandidates(groups.ownCandidates(), timer.nanoTime());
+    triedCandidates.keySet().retainAll(groups.otherGroups());
+    listener.onPeers(peers());
+  }
+
   @Override
   public void onRows(List<TableRow> rows, Moment sentAt) {
-    Set<InstanceId> missing = new java.util.HashSet<>(peers.keySet());
+    Set<InstanceId> missing = new HashSet<>(peers.keySet());
     rows.forEach(row -> put(row).ifPresent(missing::remove));
     missing.forEach(this::remove);
-    listener.onPeers(peers());
+    onPeersChanged();
   }
 
   @Override
@@ -145,7 +251,7 @@
     changes.written().forEach(this::put);
     changes.removedKeys().forEach(this::removeKey);
     if (!changes.written().isEmpty() || !changes.removedKeys().isEmpty()) {
-      listener.onPeers(peers());
+      onPeersChanged();
     }
   }
 
@@ -153,7 +259,7 @@
   private Optional<InstanceId> put(TableRow row) {
     try {
       FleetMember member = FleetMember.decode(row);
-      if (!member.instance().equals(self)) {
+      if (!member.instance().equals(self.instance())) {
         network.setAddress(member.instance(), member.address());
         if (!member.equals(peers.put(member.instance(), member))) {
           recordChange(member.instance(), "registered", row.version());
--- a/snipewick/src/main/java/org/snipewick/fleet/FleetMessages.java
+++ b/snipewick/src/main/java/org/snipewick/fleet/FleetMessages.java
@@ -1,27 +1,38 @@
 package org.snipewick.fleet;
 
+import static java.util.Objects.requireNonNull;
+
 import com.fasterxml.jackson.annotation.JsonFormat;
 import java.util.Map;
 import org.snipewick.peer.PeerMessage;
 
-/** Messages between instances: reports of spending and load, and queries of proofs. */
+/** Messages between instances: reports of spending and load, their sums, and queries of proofs. */
 public final class FleetMessages {
   /** Message types by their names on the wire, which must stay stable. */
   public static final Map<String, Class<? extends PeerMessage>> MESSAGE_TYPES =
-      Map.of("fr", Report.class, "fq", ProofQuery.class, "fp", Proof.class);
+      Map.of(
+          "fm", Report.class,
+          "fg", GroupSum.class,
+          "fs", PeerSum.class,
+          "fq", ProofQuery.class,
+          "fp", Proof.class);
+
+  /** Uptime that is reported at the first start of the whole system. */
+  public static final long FIRST_START_UPTIME_MILLIS = -1;
 
   private FleetMessages() {}
 
   /**
-   * Report of the spending of an instance and of its requests in flight.
+   * Report of an instance to the collector of its group.
    *
-   * @param uptimeMillis time since the start of the process, in milliseconds; -1 at the first start
-   *     of the system
+   * @param uptimeMillis time since the start of the process, in milliseconds; {@link
+   *     #FIRST_START_UPTIME_MILLIS} at the first start of the system
    * @param spent spending by team
    * @param inFlight number of requests in flight by endpoint; endpoints without any are omitted
    */
   @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-  public record Report(long uptimeMillis, Map<String, Spent> spent, Map<String, Integer> inFlight)
+  public record Report(
+      long uptimeMillis, Map<String, Totals.Spent> spent, Map<String, Integer> inFlight)
       implements PeerMessage {
 
     /** Copies the maps. */
@@ -32,13 +43,38 @@
   }
 
   /**
-   * Spending of a team at an instance, in the unit of the team's quota.
+   * Sum of a collector over the instances that report to it, sent to the collectors of the other
+   * groups.
    *
-   * @param total amount since the start of the process
-   * @param recent amount within the latest window of quotas
+   * @param group name of the group
+   * @param uptimeMillis time since the start of the collector's process, as in {@link Report}
+   * @param totals sum over the group
    */
   @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-  public record Spent(double total, double recent) {}
+  public record GroupSum(String group, long uptimeMillis, Totals totals) implements PeerMessage {
+
+    /** Checks that no component is null. */
+    public GroupSum {
+      requireNonNull(group, "group");
+      requireNonNull(totals, "totals");
+    }
+  }
+
+  /**
+   * Sum over all instances except the receiver, sent by a collector to each instance that reports
+   * to it.
+   *
+   * @param totals sum over the other instances
+   * @param isHistoryKnown whether it includes what earlier processes of the receiver spent
+   */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  public record PeerSum(Totals totals, boolean isHistoryKnown) implements PeerMessage {
+
+    /** Checks that no component is null. */
+    public PeerSum {
+      requireNonNull(totals, "totals");
+    }
+  }
 
   /** Query for the version of an instance's routing plan and the age of its proof. */
   @JsonFormat(shape = JsonFormat.Shape.ARRAY)
--- a/snipewick/src/main/java/org/snipewick/membership/DigestExchange.java
+++ b/snipewick/src/main/java/org/snipewick/membership/DigestExchange.java
@@ -116,7 +116,9 @@
         state.claims().stream().anyMatch(claim -> claim.id().equals(sender) && !claim.isEnded());
     if (senderIsMember) {
       table.retainReported(
-          state.domain(), state.claims().stream().map(MemberClaim::id).collect(Collectors.toSet()));
+          state.domain(),
+          state.claims().stream().map(MemberClaim::id).collect(Collectors.toSet()),
+          timer.nanoTime());
     }
   }
 
--- a/snipewick/src/main/java/org/snipewick/membership/MemberClaim.java
+++ b/snipewick/src/main/java/org/snipewick/membership/MemberClaim.java
@@ -72,6 +72,11 @@
     return new MemberClaim(id, domain, host, port, newIncarnation, newRefutation, newStatus);
   }
 
+  /** Returns a claim about the same address without a process, like that of a list entry. */
+  MemberClaim withoutProcess() {
+    return new MemberClaim(id, domain, host, port, 0, 0, Status.ALIVE);
+  }
+
   MemberClaim withRefutation(int changed) {
     return new MemberClaim(id, domain, host, port, incarnation, changed, status);
   }
--- a/snipewick/src/main/java/org/snipewick/membership/MemberTable.java
+++ b/snipewick/src/main/java/org/snipewick/membership/MemberTable.java
@@ -177,13 +177,23 @@
     }
   }
 
-  /** Removes members with an incarnation that a member of their domain did not report. */
-  void retainReported(FailureDomain domain, Set<InstanceId> reported) {
-    removeIf(
+  /**
+   * Handles members with an incarnation that a member of their domain did not report: removes those
+   * that have ended, and keeps only the address of the others. The sender may not have received
+   * their claims yet; if the domain is cut off before it reports them, they have to count as
+   * unreachable like the rest of their domain.
+   */
+  void retainReported(FailureDomain domain, Set<InstanceId> reported, long nowNanos) {
+    Predicate<MemberRecord> isUnreported =
         record ->
             record.claim().domain().equals(domain)
                 && record.claim().hasIncarnation()
-                && !reported.contains(record.claim().id()));
+                && !reported.contains(record.claim().id());
+    removeIf(record -> isUnreported.test(record) && record.claim().isEnded());
+    for (MemberRecord record : select(isUnreported)) {
+      record.replace(record.claim().withoutProcess(), nowNanos);
+      changeCount++;
+    }
   }
 
   /**
--- a/snipewick/src/main/java/org/snipewick/placement/EndpointLoad.java
+++ b/snipewick/src/main/java/org/snipewick/placement/EndpointLoad.java
@@ -42,6 +42,8 @@
   private int peerInFlightFromEndpoint;
   private int peerInFlight;
   private boolean isPeerInFlightComplete;
+  private long peerInFlightUntilNanos;
+  private boolean hasPeerInFlight;
   private double meanNanosPerUnit;
   private long reportedAtNanos;
   private boolean hasReport;
@@ -83,26 +85,32 @@
 
   /**
    * Returns the estimated number of requests in flight at the endpoint, those of this instance and
-   * of its peers. While the report of a peer is missing or no longer valid and the endpoint's own
-   * report is valid, the peers' part is the greater of what the peers and the endpoint reported.
+   * of its peers. While peers are silent and the endpoint's own report is valid, the peers' part is
+   * the greater of what the other peers and the endpoint reported.
    */
   int estimatedInFlight(long nowNanos) {
+    boolean isPeerInFlightValid = hasPeerInFlight && nowNanos - peerInFlightUntilNanos < 0;
+    int reportedByPeers = isPeerInFlightValid ? peerInFlight : 0;
     boolean isReportValid = hasReport && nowNanos - reportedAtNanos < REPORT_VALIDITY_NANOS;
-    if (isPeerInFlightComplete || !isReportValid) {
-      return inFlight + peerInFlight;
-    }
-    return inFlight + Math.max(peerInFlight, peerInFlightFromEndpoint);
+    boolean isComplete = isPeerInFlightValid && isPeerInFlightComplete;
+    return inFlight
+        + (isComplete || !isReportValid
+            ? reportedByPeers
+            : Math.max(reportedByPeers, peerInFlightFromEndpoint));
   }
 
   /**
-   * Sets the number of requests that peers report to have in flight at the endpoint.
+   * Sets the number of requests that peers have in flight at the endpoint.
    *
-   * @param count requests of the peers whose reports are valid
-   * @param isComplete whether the reports of all peers are valid
+   * @param count requests of the reporting peers
+   * @param isComplete whether all peers report
+   * @param validUntilNanos monotonic time until which the count is valid, in nanoseconds
    */
-  void setPeerInFlight(int count, boolean isComplete) {
+  void setPeersInFlight(int count, boolean isComplete, long validUntilNanos) {
     peerInFlight = count;
     isPeerInFlightComplete = isComplete;
+    peerInFlightUntilNanos = validUntilNanos;
+    hasPeerInFlight = true;
   }
 
   /** Adds the time that each unit of an answer took, in nanoseconds, to the moving average. */
--- a/snipewick/src/main/java/org/snipewick/placement/PoolPlacement.java
+++ b/snipewick/src/main/java/org/snipewick/placement/PoolPlacement.java
@@ -15,7 +15,6 @@
 import java.util.Set;
 import org.snipewick.identity.EndpointId;
 import org.snipewick.identity.FailureDomain;
-import org.snipewick.identity.InstanceId;
 import org.snipewick.identity.Tier;
 import org.snipewick.registry.RegisteredEndpoint;
 
@@ -43,17 +42,10 @@
    */
   private static final double REMOTE_COST_FACTOR = 1.3;
 
-  /**
-   * Peers whose latest report is older count as silent. Several times the period of the reports,
-   * which are sent every 100 ms or less often.
-   */
-  private static final long PEER_REPORT_VALIDITY_NANOS = Duration.ofSeconds(1).toNanos();
-
   private final FailureDomain domain;
   private final QueueOrder order;
   private final Map<EndpointId, EndpointLoad> endpoints = new HashMap<>();
   private final List<WaitingRequest> waiting = new ArrayList<>();
-  private final Map<InstanceId, PeerReport> peerReports = new HashMap<>();
   private final ResidenceTime residenceTime = new ResidenceTime();
 
   private PoolPlacement(FailureDomain domain, QueueOrder order) {
@@ -326,43 +318,18 @@
     }
   }
 
-  /** Latest report of a peer; its time is {@link Long#MIN_VALUE} before the first one. */
-  private record PeerReport(long receivedNanos, Map<EndpointId, Integer> inFlight) {}
-
   /**
-   * Sets the peers that send requests to the endpoints.
+   * Sets the number of requests that the peers have in flight at the endpoints.
    *
-   * @param instances all peers
+   * @param inFlight sum over the reporting peers by endpoint
+   * @param isComplete whether all peers report
+   * @param validUntilNanos monotonic time until which the sums count, in nanoseconds
    */
-  public void setPeers(Set<InstanceId> instances) {
-    peerReports.keySet().retainAll(instances);
-    instances.forEach(
-        instance -> peerReports.putIfAbsent(instance, new PeerReport(Long.MIN_VALUE, Map.of())));
-  }
-
-  /**
-   * Stores the number of requests that a peer has in flight at the endpoints.
-   *
-   * @param instance peer
-   * @param inFlight requests by endpoint
-   * @param nowNanos current monotonic time, in nanoseconds
-   */
-  public void setPeerInFlight(
-      InstanceId instance, Map<EndpointId, Integer> inFlight, long nowNanos) {
-    peerReports.put(instance, new PeerReport(nowNanos, inFlight));
-    Map<EndpointId, Integer> sums = new HashMap<>();
-    boolean isComplete = true;
-    for (PeerReport report : peerReports.values()) {
-      boolean isSilent =
-          report.receivedNanos() == Long.MIN_VALUE
-              || nowNanos - report.receivedNanos() > PEER_REPORT_VALIDITY_NANOS;
-      isComplete &= !isSilent;
-      if (!isSilent) {
-        report.inFlight().forEach((endpoint, count) -> sums.merge(endpoint, count, Integer::sum));
-      }
-    }
-    boolean isFromAllPeers = isComplete;
-    endpoints.forEach((id, load) -> load.setPeerInFlight(sums.getOrDefault(id, 0), isFromAllPeers));
+  public void setPeersInFlight(
+      Map<EndpointId, Integer> inFlight, boolean isComplete, long validUntilNanos) {
+    endpoints.forEach(
+        (id, load) ->
+            load.setPeersInFlight(inFlight.getOrDefault(id, 0), isComplete, validUntilNanos));
   }
 
   /**
--- a/snipewick/src/main/java/org/snipewick/platform/FrontProcess.java
+++ b/snipewick/src/main/java/org/snipewick/platform/FrontProcess.java
@@ -7,6 +7,8 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
@@ -23,10 +25,13 @@
 import org.snipewick.fleet.FleetMessages;
 import org.snipewick.fleet.InstanceRegistration;
 import org.snipewick.fleet.ProofExchange;
+import org.snipewick.fleet.SpendingRecords;
+import org.snipewick.identity.TeamName;
 import org.snipewick.metrics.PrometheusText;
 import org.snipewick.peer.PeerCodec;
 import org.snipewick.peer.PeerNetwork;
 import org.snipewick.peer.tcp.TcpPeerNetwork;
+import org.snipewick.quota.EarlierSpending;
 import org.snipewick.quota.QuotaLedger;
 import org.snipewick.registry.EndpointRegistry;
 import org.snipewick.relay.HealthServer;
@@ -34,6 +39,7 @@
 import org.snipewick.relay.RelayServer;
 import org.snipewick.route.PlanController;
 import org.snipewick.store.MirrorListener;
+import org.snipewick.store.PollSchedule;
 import org.snipewick.store.TableMirror;
 import org.snipewick.store.access.SingleAttemptStore;
 import org.snipewick.time.SystemTimerService;
@@ -69,6 +75,16 @@
    */
   private static final Duration MAX_WATCH_WAIT = Duration.ofSeconds(2);
 
+  private static final PollSchedule CONFIGURATION_POLLS =
+      new PollSchedule(MAX_WATCH_WAIT, Duration.ZERO);
+
+  private static final PollSchedule ENDPOINT_POLLS =
+      new PollSchedule(MAX_WATCH_WAIT, Duration.ofMillis(150));
+
+  /** Late news of a peer delay nothing but the exchange of reports with it. */
+  private static final PollSchedule INSTANCE_POLLS =
+      new PollSchedule(Duration.ofSeconds(10), Duration.ofSeconds(1));
+
   /**
    * Time by which the maximum age of a proof that the configuration is current is shorter than the
    * revocation time of API keys. Leaves time for one processing step.
@@ -87,6 +103,9 @@
   /** Time reserved at the end of the grace period for closing connections and exiting. */
   private static final Duration STOP_MARGIN = Duration.ofMillis(700);
 
+  /** Without the record of earlier spending, quotas count as spent for a whole window. */
+  private static final Duration SPENDING_RETRY_DELAY = Duration.ofMillis(500);
+
   private static final Duration STOP_POLL_PERIOD = Duration.ofMillis(50);
 
   private final NodeSettings settings;
@@ -162,23 +181,52 @@
 
   private void startMirrors(SingleAttemptStore store) {
     ConfigurationListener configuration = new ConfigurationListener(plans, events);
-    startMirror(store, CONFIGURATION_TABLE, configuration);
+    startMirror(store, CONFIGURATION_TABLE, CONFIGURATION_POLLS, configuration);
     startMirror(
-        store, PlatformStoreAdapter.ENDPOINT_TABLE, new EndpointRowListener(registry, events));
+        store,
+        PlatformStoreAdapter.ENDPOINT_TABLE,
+        ENDPOINT_POLLS,
+        new EndpointRowListener(registry, events));
     FleetMember self = new FleetMember(settings.instance(), settings.domain(), settings.peers());
     CompletableFuture<Void> unused =
         InstanceRegistration.start(store, self, timer, events, new SplittableRandom())
-            .thenAccept(incarnation -> joinFleet(store, incarnation, configuration));
+            .thenAccept(incarnation -> joinFleet(self, store, incarnation, configuration));
+    if (!settings.isFirstStart()) {
+      readEarlierSpending(store);
+    }
+  }
+
+  private void readEarlierSpending(SingleAttemptStore store) {
+    CompletableFuture<Void> unused =
+        SpendingRecords.read(store, events)
+            .handle(
+                (recorded, thrown) -> {
+                  if (thrown == null) {
+                    quotas.setEarlierSpending(toEarlierSpending(recorded));
+                  } else {
+                    timer.after(SPENDING_RETRY_DELAY, () -> readEarlierSpending(store));
+                  }
+                  return null;
+                });
+  }
+
+  private static EarlierSpending toEarlierSpending(Map<String, List<Double>> recorded) {
+    Map<TeamName, List<Double>> bySecond = new HashMap<>();
+    recorded.forEach((team, amounts) -> bySecond.put(TeamName.of(team), amounts));
+    return EarlierSpending.recorded(bySecond);
   }
 
-  private void startMirror(SingleAttemptStore store, String table, MirrorListener listener) {
-    TableMirror.start(
-        store, table, MAX_WATCH_WAIT, timer, events, new SplittableRandom(), listener);
+  private void startMirror(
+      SingleAttemptStore store, String table, PollSchedule schedule, MirrorListener listener) {
+    TableMirror.start(store, table, schedule, timer, events, new SplittableRandom(), listener);
   }
 
   /** Connects to the peers once the store has assigned this process its incarnation. */
   private void joinFleet(
-      SingleAttemptStore store, long incarnation, ConfigurationListener configuration) {
+      FleetMember self,
+      SingleAttemptStore store,
+      long incarnation,
+      ConfigurationListener configuration) {
     PeerNetwork network =
         TcpPeerNetwork.listen(
             settings.instance(),
@@ -188,11 +236,12 @@
             peerTimer,
             events,
             new SplittableRandom());
-    PeerReports reports = new PeerReports(quotas, relay);
+    Duration quotaWindow = settings.quotas().window();
+    PeerReports reports =
+        new PeerReports(quotas, relay, SpendingRecords.start(store, timer, events, quotaWindow));
     Fleet fleet =
-        Fleet.start(
-            settings.instance(), network, eventloop, timer, events, reports::report, reports);
-    startMirror(store, FleetMember.TABLE, fleet);
+        Fleet.start(self, quotaWindow, network, eventloop, timer, events, reports::report, reports);
+    startMirror(store, FleetMember.TABLE, INSTANCE_POLLS, fleet);
     configuration.setProofExchange(
         ProofExchange.start(
             network, eventloop, timer, plans, fleet::peers, new SplittableRandom()));
--- a/snipewick/src/main/java/org/snipewick/quota/QuotaLedger.java
+++ b/snipewick/src/main/java/org/snipewick/quota/QuotaLedger.java
@@ -6,27 +6,18 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
-import org.snipewick.identity.InstanceId;
 import org.snipewick.identity.TeamName;
 import org.snipewick.route.TeamPlan;
 import org.snipewick.time.TimerService;
 
 /**
- * Spending of teams over all instances, as far as this instance has received it. Each instance
- * reports its spending to its peers; a silent peer may go on spending an even share of each limit,
- * which is therefore reserved for it. Not thread-safe.
+ * Spending of teams over all instances, as far as this instance has received it. A peer that does
+ * not report may go on spending an even share of each limit, which is therefore reserved for it.
+ * What earlier processes spent before a restart is reserved as far as it is recorded; without a
+ * record of it, their whole shares are. Not thread-safe.
  */
 public final class QuotaLedger {
-  /**
-   * Peers whose latest report is older count as silent. Several times the period of the reports,
-   * which are sent every 100 ms or less often.
-   */
-  static final Duration REPORT_VALIDITY = Duration.ofSeconds(1);
-
-  /** Time until the spending of a peer is received: two report periods and propagation delay. */
-  private static final Duration REPORT_LAG = Duration.ofMillis(250);
-
+  private static final Duration ONE_SECOND = Duration.ofSeconds(1);
   private static final Duration MIN_RETRY_AFTER = Duration.ofMillis(200);
   private static final Duration MAX_RETRY_AFTER = Duration.ofSeconds(5);
 
@@ -35,7 +26,10 @@
   private final boolean mayHaveSpentBefore;
   private final long startedNanos;
   private final Map<TeamName, Account> accounts = new HashMap<>();
-  private final Map<InstanceId, Peer> peers = new HashMap<>();
+  private EarlierSpending earlierSpending = EarlierSpending.unknown();
+  private PeerSpending peerSpending = PeerSpending.none();
+  private long peerSpendingReceivedNanos;
+  private int peers;
 
   private QuotaLedger(TimerService timer, QuotaBounds bounds, boolean mayHaveSpentBefore) {
     this.timer = requireNonNull(timer, "timer");
@@ -69,20 +63,34 @@
     long now = timer.nanoTime();
     double limit = bounds.limit(team.quota());
     Account account = accounts.computeIfAbsent(team.name(), name -> new Account());
-    double reserved = limit / (peers.size() + 1) * sharesSpentBeforeStart(now);
-    double available = limit * unreservedShare(now) - reserved - account.estimatedTotal(now);
+    double spentByPeers = spentByPeers(team.name(), now);
+    double available =
+        limit * (1 - shareOf(silentPeers(now)))
+            - reservedForEarlierProcesses(team.name(), limit, now)
+            - account.window.total(now)
+            - spentByPeers;
     if (amount <= available) {
-      account.allInstances.add(amount, now);
-      account.thisInstance.add(amount, now);
-      account.spentSinceStart += amount;
+      account.window.add(amount, now);
+      account.lastSecond.add(amount, now);
       return Optional.empty();
     }
-    return Optional.of(
-        account
-            .allInstances
-            .nanosUntilExpired(amount - available, now)
-            .map(QuotaLedger::retryAfter)
-            .orElse(MAX_RETRY_AFTER));
+    return Optional.of(retryAfter(account.window, amount - available, spentByPeers, now));
+  }
+
+  /** Estimates when an amount leaves the window; peers are assumed to have spent evenly in it. */
+  private Duration retryAfter(
+      SpendingWindow own, double amount, double spentByPeers, long nowNanos) {
+    long windowNanos = bounds.window().toNanos();
+    double spent = own.total(nowNanos) + spentByPeers;
+    long nanos =
+        spentByPeers == 0
+            ? own.nanosUntilExpired(amount, nowNanos).orElse(windowNanos)
+            : (long) (windowNanos * Math.min(1, amount / spent));
+    Duration wait = Duration.ofNanos(nanos);
+    if (wait.compareTo(MIN_RETRY_AFTER) < 0) {
+      return MIN_RETRY_AFTER;
+    }
+    return wait.compareTo(MAX_RETRY_AFTER) > 0 ? MAX_RETRY_AFTER : wait;
   }
 
   /**
@@ -94,8 +102,12 @@
     long now = timer.nanoTime();
     Map<TeamName, Spent> spent = new HashMap<>();
     accounts.forEach(
-        (team, account) ->
-            spent.put(team, new Spent(account.spentSinceStart, account.thisInstance.total(now))));
+        (team, account) -> {
+          double window = account.window.total(now);
+          if (window > 0) {
+            spent.put(team, new Spent(window, account.lastSecond.total(now)));
+          }
+        });
     return spent;
   }
 
@@ -111,111 +123,90 @@
   }
 
   /**
-   * Spending of a team at one instance.
+   * Spending of a team, in the unit of its quota.
    *
-   * @param total amount since the start of the process, in the unit of the quota
-   * @param recent amount within the latest window, in the unit of the quota
+   * @param window amount within the latest window
+   * @param lastSecond amount within the latest second
    */
-  public record Spent(double total, double recent) {}
+  public record Spent(double window, double lastSecond) {}
 
   /**
-   * Adds the spending that a peer reports. A lower total than before means that the peer has
-   * restarted, in which case its spending within the latest window is added.
+   * Sets the number of peers that may spend.
    *
-   * @param instance peer
-   * @param uptime time since the start of its process; empty at the first start of the whole system
-   * @param spent spending by team
+   * @param count number of registered peers
    */
-  public void addPeerSpending(
-      InstanceId instance, Optional<Duration> uptime, Map<TeamName, Spent> spent) {
-    long now = timer.nanoTime();
-    Peer peer = peers.computeIfAbsent(instance, name -> new Peer());
-    peer.mayHaveSpentBefore = uptime.isPresent();
-    peer.startedNanos = now - uptime.map(Duration::toNanos).orElse(0L);
-    for (Map.Entry<TeamName, Spent> each : spent.entrySet()) {
-      Double previousTotal = peer.totals.put(each.getKey(), each.getValue().total());
-      double increase =
-          previousTotal == null || previousTotal > each.getValue().total()
-              ? each.getValue().recent()
-              : each.getValue().total() - previousTotal;
-      Account account = accounts.computeIfAbsent(each.getKey(), name -> new Account());
-      account.allInstances.add(increase, now);
-      account.recentByPeers.add(increase, now);
-    }
-    peer.receivedNanos = now;
+  public void setPeers(int count) {
+    peers = count;
   }
 
   /**
-   * Sets the peers that may spend. Removes the state of all others, but not what they have spent.
+   * Replaces the spending of the peers.
    *
-   * @param instances all registered peers
+   * @param spending latest sum over the peers
    */
-  public void setPeers(Set<InstanceId> instances) {
-    peers.keySet().retainAll(instances);
-    instances.forEach(instance -> peers.computeIfAbsent(instance, name -> new Peer()));
+  public void setPeerSpending(PeerSpending spending) {
+    peerSpending = requireNonNull(spending, "spending");
+    peerSpendingReceivedNanos = timer.nanoTime();
   }
 
   /**
-   * Returns the number of even shares that earlier processes may have spent in the current window
-   * before the present ones started. Each share falls linearly to 0 within the length of the window
-   * after a start.
+   * Sets what earlier processes of all instances had recorded of their spending when this one
+   * started.
+   *
+   * @param recorded spending by the time that had passed since
    */
-  private double sharesSpentBeforeStart(long nowNanos) {
-    double shares = mayHaveSpentBefore ? remainingShareOfWindow(nowNanos - startedNanos) : 0;
-    for (Peer peer : peers.values()) {
-      if (!peer.isSilent(nowNanos) && peer.mayHaveSpentBefore) {
-        shares += remainingShareOfWindow(nowNanos - peer.startedNanos);
-      }
-    }
-    return shares;
+  public void setEarlierSpending(EarlierSpending recorded) {
+    earlierSpending = requireNonNull(recorded, "recorded");
   }
 
-  private double remainingShareOfWindow(long uptimeNanos) {
-    return Math.max(0, 1 - (double) uptimeNanos / bounds.window().toNanos());
+  /**
+   * Returns the spending of the peers, including what they have spent but not yet reported. It
+   * counts until it has left the window, also if it is no longer current.
+   */
+  private double spentByPeers(TeamName team, long nowNanos) {
+    Spent spent = peerSpending.spent().get(team);
+    boolean hasExpired = nowNanos - peerSpendingReceivedNanos > bounds.window().toNanos();
+    if (spent == null || hasExpired) {
+      return 0;
+    }
+    double unreported =
+        spent.lastSecond() * peerSpending.lag().toNanos() / (double) ONE_SECOND.toNanos();
+    return spent.window() + unreported;
   }
 
-  /** Returns the share of a limit that is not reserved for silent peers. */
-  private double unreservedShare(long nowNanos) {
-    long silent = peers.values().stream().filter(peer -> peer.isSilent(nowNanos)).count();
-    return 1 - silent / (peers.size() + 1.0);
+  private int silentPeers(long nowNanos) {
+    return isPeerSpendingValid(nowNanos) ? Math.max(0, peers - peerSpending.instances()) : peers;
   }
 
-  private static Duration retryAfter(long nanos) {
-    Duration wait = Duration.ofNanos(nanos);
-    if (wait.compareTo(MIN_RETRY_AFTER) < 0) {
-      return MIN_RETRY_AFTER;
-    }
-    return wait.compareTo(MAX_RETRY_AFTER) > 0 ? MAX_RETRY_AFTER : wait;
+  private boolean isPeerSpendingValid(long nowNanos) {
+    return peerSpending.instances() > 0
+        && nowNanos - peerSpendingReceivedNanos <= peerSpending.validity().toNanos();
   }
 
-  /** Latest report of a peer; its time is {@link Long#MIN_VALUE} before the first one. */
-  private static final class Peer {
-    private final Map<TeamName, Double> totals = new HashMap<>();
-    private long receivedNanos = Long.MIN_VALUE;
-    private long startedNanos;
-    private boolean mayHaveSpentBefore;
+  private double shareOf(int instances) {
+    return instances / (peers + 1.0);
+  }
 
-    boolean isSilent(long nowNanos) {
-      return receivedNanos == Long.MIN_VALUE
-          || nowNanos - receivedNanos > REPORT_VALIDITY.toNanos();
+  /**
+   * Returns what instances that started within the latest window may have spent in it before. The
+   * shares of silent peers are reserved already.
+   */
+  private double reservedForEarlierProcesses(TeamName team, double limit, long nowNanos) {
+    int withoutHistory = isPeerSpendingValid(nowNanos) ? peerSpending.withoutHistory() : 0;
+    long uptimeNanos = nowNanos - startedNanos;
+    boolean isOwnHistoryKnown =
+        peerSpending.isOwnHistoryKnown() || uptimeNanos >= bounds.window().toNanos();
+    if (mayHaveSpentBefore && !isOwnHistoryKnown) {
+      withoutHistory++;
     }
+    return withoutHistory == 0
+        ? 0
+        : shareOf(withoutHistory) * earlierSpending.unexpired(team, limit, uptimeNanos);
   }
 
-  /** Spending of one team. */
+  /** Spending of one team by this process. */
   private final class Account {
-    private final SpendingWindow allInstances = new SpendingWindow(bounds.window().toNanos());
-    private final SpendingWindow thisInstance = new SpendingWindow(bounds.window().toNanos());
-    private final SpendingWindow recentByPeers = new SpendingWindow(REPORT_VALIDITY.toNanos());
-    private double spentSinceStart;
-
-    /**
-     * Returns the spending in the window, including an estimate of what peers have spent but not
-     * yet reported.
-     */
-    double estimatedTotal(long nowNanos) {
-      double unreported =
-          recentByPeers.total(nowNanos) * REPORT_LAG.toNanos() / REPORT_VALIDITY.toNanos();
-      return allInstances.total(nowNanos) + unreported;
-    }
+    private final SpendingWindow window = new SpendingWindow(bounds.window().toNanos());
+    private final SpendingWindow lastSecond = new SpendingWindow(ONE_SECOND.toNanos());
   }
 }
--- a/snipewick/src/main/java/org/snipewick/relay/RelayDispatcher.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayDispatcher.java
@@ -67,13 +67,14 @@
     if (!peers.equals(instances)) {
       peers = Set.copyOf(instances);
       retryBudgets.clear();
-      pools.values().forEach(pool -> pool.setPeers(peers));
     }
   }
 
-  /** Sets the number of requests that a peer has in flight at each endpoint. */
-  void setPeerInFlight(InstanceId peer, Map<EndpointId, Integer> requests) {
-    pools.values().forEach(pool -> pool.setPeerInFlight(peer, requests, now()));
+  /** Sets the number of requests that the peers have in flight at each endpoint. */
+  void setPeersInFlight(Map<EndpointId, Integer> requests, int reportingPeers, Duration validity) {
+    boolean isComplete = reportingPeers >= peers.size();
+    long validUntilNanos = now() + validity.toNanos();
+    pools.values().forEach(pool -> pool.setPeersInFlight(requests, isComplete, validUntilNanos));
   }
 
   /** Returns the number of requests that this instance has in flight at each endpoint. */
@@ -380,13 +381,7 @@
 
   private PoolPlacement pool(PoolName name) {
     return pools.computeIfAbsent(
-        name,
-        pool -> {
-          PoolPlacement created =
-              PoolPlacement.of(dependencies.domain(), QueueOrder.byTierOnTimeFirst());
-          created.setPeers(peers);
-          return created;
-        });
+        name, pool -> PoolPlacement.of(dependencies.domain(), QueueOrder.byTierOnTimeFirst()));
   }
 
   private PoolRetryBudget retryBudget(PoolName name) {
--- a/snipewick/src/main/java/org/snipewick/relay/RelayServer.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayServer.java
@@ -107,13 +107,15 @@
   }
 
   /**
-   * Sets the number of requests that a peer has in flight at each endpoint.
+   * Sets the number of requests that the peers have in flight at each endpoint.
    *
-   * @param peer peer
-   * @param requests number of requests by endpoint
+   * @param requests sum over the reporting peers by endpoint
+   * @param reportingPeers number of peers that the sum includes
+   * @param validity time for which the sum counts as current
    */
-  public void setPeerInFlight(InstanceId peer, Map<EndpointId, Integer> requests) {
-    dispatcher.setPeerInFlight(peer, requests);
+  public void setPeersInFlight(
+      Map<EndpointId, Integer> requests, int reportingPeers, Duration validity) {
+    dispatcher.setPeersInFlight(requests, reportingPeers, validity);
   }
 
   /**
--- a/snipewick/src/main/java/org/snipewick/request/http/CallerServlet.java
+++ b/snipewick/src/main/java/org/snipewick/request/http/CallerServlet.java
@@ -1,6 +1,7 @@
 package org.snipewick.request.http;
 
 import io.activej.bytebuf.ByteBuf;
+import io.activej.eventloop.Eventloop;
 import io.activej.http.AsyncServlet;
 import io.activej.http.HttpHeader;
 import io.activej.http.HttpHeaderValue;
@@ -101,10 +102,13 @@
     CallContext context = CallContext.of(requestIds.get(), received, receivedNanos, clients);
     HttpServerConnection connection = request.getConnection();
     connections.beginRequest(connection, () -> onCallerDisconnected(context));
+    // An answer may complete on another thread, but the body of a response belongs to its loop.
     CompletableFuture<HttpResponse> response =
         requestPipeline
             .serve(context)
-            .handle((answer, thrown) -> toResponse(context, connection, answer, thrown));
+            .handleAsync(
+                (answer, thrown) -> toResponse(context, connection, answer, thrown),
+                Eventloop.getCurrentEventloop());
     return Promise.ofCompletionStage(response)
         .whenComplete((value, thrown) -> endUnlessStreamed(connection, value));
   }
--- a/snipewick/src/main/java/org/snipewick/store/TableMirror.java
+++ b/snipewick/src/main/java/org/snipewick/store/TableMirror.java
@@ -35,7 +35,7 @@
 
   private final TableReader reader;
   private final String table;
-  private final Duration maxWait;
+  private final PollSchedule schedule;
   private final TimerService timer;
   private final EventLog events;
   private final RandomGenerator random;
@@ -47,14 +47,14 @@
   private TableMirror(
       TableReader reader,
       String table,
-      Duration maxWait,
+      PollSchedule schedule,
       TimerService timer,
       EventLog events,
       RandomGenerator random,
       MirrorListener listener) {
     this.reader = requireNonNull(reader, "reader");
     this.table = requireNonNull(table, "table");
-    this.maxWait = requireNonNull(maxWait, "maxWait");
+    this.schedule = requireNonNull(schedule, "schedule");
     this.timer = requireNonNull(timer, "timer");
     this.events = requireNonNull(events, "events");
     this.random = requireNonNull(random, "random");
@@ -66,7 +66,7 @@
    *
    * @param reader access to the store
    * @param table name of the table
-   * @param maxWait maximum time that the store waits for a change in each poll
+   * @param schedule times of the polls
    * @param timer clock and timer of the backoff
    * @param events log that records when the table becomes unreadable and readable again
    * @param random source of the backoff's jitter
@@ -76,12 +76,12 @@
   public static TableMirror start(
       TableReader reader,
       String table,
-      Duration maxWait,
+      PollSchedule schedule,
       TimerService timer,
       EventLog events,
       RandomGenerator random,
       MirrorListener listener) {
-    TableMirror mirror = new TableMirror(reader, table, maxWait, timer, events, random, listener);
+    TableMirror mirror = new TableMirror(reader, table, schedule, timer, events, random, listener);
     mirror.sendNext();
     return mirror;
   }
@@ -129,7 +129,7 @@
 
   private void pollChanges(Moment sentAt) {
     reader
-        .changes(table, version, maxWait)
+        .changes(table, version, schedule.maxWait())
         .whenComplete(
             (changes, thrown) -> {
               if (thrown != null) {
@@ -138,13 +138,22 @@
                 version = Math.max(version, delta.version());
                 onSuccess();
                 notifyListener(() -> listener.onChanges(delta, sentAt));
-                sendNext();
+                sendAfter(delta);
               } else {
                 onHistoryLost(((RowChanges.HistoryLost) changes).detail());
               }
             });
   }
 
+  private void sendAfter(RowChanges.Delta delta) {
+    boolean isEmpty = delta.written().isEmpty() && delta.removedKeys().isEmpty();
+    if (isEmpty || schedule.pauseAfterChange().isZero()) {
+      sendNext();
+    } else {
+      timer.after(schedule.pauseAfterChange(), this::sendNext);
+    }
+  }
+
   /** Notifies the listener; a defect in it must not end the mirror. */
   private void notifyListener(Runnable notification) {
     try {
--- a/snipewick/src/test/java/org/snipewick/placement/PoolPlacementTest.java
+++ b/snipewick/src/test/java/org/snipewick/placement/PoolPlacementTest.java
@@ -10,7 +10,6 @@
 import org.junit.jupiter.api.Test;
 import org.snipewick.identity.EndpointId;
 import org.snipewick.identity.FailureDomain;
-import org.snipewick.identity.InstanceId;
 import org.snipewick.identity.PoolName;
 import org.snipewick.identity.Tier;
 import org.snipewick.registry.RegisteredEndpoint;
@@ -42,9 +41,7 @@
   @Test
   void shouldNotExceedCapacityWhenPeersUseSomeSlots() {
     pool.update(List.of(endpoint("a", LOCAL, 4)));
-    InstanceId peer = InstanceId.of("linz.2");
-    pool.setPeers(Set.of(peer));
-    pool.setPeerInFlight(peer, Map.of(EndpointId.of("a"), 3), nowNanos);
+    pool.setPeersInFlight(Map.of(EndpointId.of("a"), 3), true, nowNanos + SECOND_NANOS);
     assertThat(place(3)).containsExactly("a");
     assertThat(pool.waiting()).isEqualTo(2);
   }
@@ -52,7 +49,16 @@
   @Test
   void shouldUseLoadReportedByEndpointWhenPeerIsSilent() {
     pool.update(List.of(endpoint("a", LOCAL, 4)));
-    pool.setPeers(Set.of(InstanceId.of("linz.2")));
+    pool.setPeersInFlight(Map.of(), false, nowNanos + SECOND_NANOS);
+    pool.updateReportedLoad(EndpointId.of("a"), new ReportedLoad(3, 0, 4), nowNanos);
+    assertThat(place(3)).containsExactly("a");
+  }
+
+  @Test
+  void shouldUseLoadReportedByEndpointWhenSumOverPeersHasExpired() {
+    pool.update(List.of(endpoint("a", LOCAL, 4)));
+    pool.setPeersInFlight(Map.of(), true, nowNanos + SECOND_NANOS);
+    nowNanos += 2 * SECOND_NANOS;
     pool.updateReportedLoad(EndpointId.of("a"), new ReportedLoad(3, 0, 4), nowNanos);
     assertThat(place(3)).containsExactly("a");
   }
--- a/snipewick/src/test/java/org/snipewick/quota/QuotaLedgerTest.java
+++ b/snipewick/src/test/java/org/snipewick/quota/QuotaLedgerTest.java
@@ -3,11 +3,12 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Duration;
+import java.util.Collections;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
-import org.snipewick.identity.InstanceId;
 import org.snipewick.identity.TeamName;
 import org.snipewick.route.TeamPlan;
 import org.snipewick.route.TeamQuota;
@@ -16,7 +17,10 @@
 class QuotaLedgerTest {
   private static final QuotaBounds NO_TOLERANCE = new QuotaBounds(Duration.ofSeconds(8), 0, 0);
   private static final TeamName TEAM = TeamName.of("drivers");
-  private static final InstanceId PEER = InstanceId.of("linz.1");
+
+  private static final Duration VALIDITY = Duration.ofSeconds(1);
+  private static final Duration LAG = Duration.ofMillis(250);
+  private static final Duration NO_LAG = Duration.ZERO;
 
   /** Allows 9,000 tokens in each 8 seconds. */
   private static final TeamPlan PLAN =
@@ -36,20 +40,21 @@
 
   @Test
   void shouldCountSpendingWhenPeerReportsIt() {
-    ledger.setPeers(Set.of(PEER));
+    ledger.setPeers(1);
     report(6_000, 6_000);
     timer.advance(Duration.ofMillis(900));
     report(6_000, 6_000);
     assertThat(ledger.trySpend(PLAN, 3_100)).isPresent();
     timer.advance(Duration.ofMillis(200));
+    report(6_000, 0);
     assertThat(ledger.trySpend(PLAN, 3_000)).isEmpty();
   }
 
   @Test
   void shouldCountOnlyIncreaseWhenTotalIsReportedAgain() {
-    ledger.setPeers(Set.of(PEER));
+    ledger.setPeers(1);
     for (int count = 0; count < 20; count++) {
-      report(4_000, 4_000);
+      report(4_000, 0);
       timer.advance(Duration.ofMillis(100));
     }
     assertThat(ledger.trySpend(PLAN, 5_000)).isEmpty();
@@ -57,7 +62,7 @@
 
   @Test
   void shouldReserveShareWhenPeerIsSilent() {
-    ledger.setPeers(Set.of(PEER));
+    ledger.setPeers(1);
     assertThat(ledger.trySpend(PLAN, 4_501)).isPresent();
     assertThat(ledger.trySpend(PLAN, 4_500)).isEmpty();
     assertThat(ledger.trySpend(PLAN, 1)).isPresent();
@@ -66,8 +71,8 @@
   @Test
   void shouldSpendExactlyLimitInTotalWhenInstancesReceiveNoReports() {
     QuotaLedger second = QuotaLedger.of(timer, NO_TOLERANCE, false);
-    ledger.setPeers(Set.of(PEER));
-    second.setPeers(Set.of(InstanceId.of("linz.2")));
+    ledger.setPeers(1);
+    second.setPeers(1);
     double spent = 0;
     for (int request = 0; request < 100; request++) {
       spent += ledger.trySpend(PLAN, 100).isEmpty() ? 100 : 0;
@@ -76,37 +81,51 @@
     assertThat(spent).isEqualTo(9_000);
   }
 
+  /** The aggregator includes what an earlier process of a peer spent in the sum over the peers. */
   @Test
   void shouldCountEarlierSpendingWhenPeerRestarts() {
-    ledger.setPeers(Set.of(PEER));
-    report(5_000, 5_000);
-    report(100, 100);
+    ledger.setPeers(1);
+    report(5_100, 100);
     timer.advance(Duration.ofMillis(999));
-    report(100, 100);
-    timer.advance(Duration.ofMillis(500));
+    report(5_100, 0);
     assertThat(ledger.trySpend(PLAN, 3_901)).isPresent();
     assertThat(ledger.trySpend(PLAN, 3_900)).isEmpty();
   }
 
   @Test
-  void shouldReservePartOfShareWhenEarlierProcessMayHaveSpentIt() {
+  void shouldReserveShareUntilItLeavesWindowWhenEarlierProcessMayHaveSpentIt() {
     QuotaLedger restarted = QuotaLedger.of(timer, NO_TOLERANCE, true);
-    restarted.setPeers(Set.of(PEER));
-    restarted.addPeerSpending(PEER, Optional.empty(), Map.of());
-    assertThat(restarted.trySpend(PLAN, 4_501)).isPresent();
-    timer.advance(Duration.ofSeconds(4));
-    restarted.addPeerSpending(PEER, Optional.empty(), Map.of());
-    assertThat(restarted.trySpend(PLAN, 6_751)).isPresent();
-    assertThat(restarted.trySpend(PLAN, 6_750)).isEmpty();
+    restarted.setPeers(1);
+    for (int second = 0; second < 8; second++) {
+      restarted.setPeerSpending(spending(Map.of(), 0));
+      assertThat(restarted.trySpend(PLAN, 4_501)).isPresent();
+      timer.advance(Duration.ofSeconds(1));
+    }
+    restarted.setPeerSpending(spending(Map.of(), 0));
+    assertThat(restarted.trySpend(PLAN, 9_000)).isEmpty();
   }
 
+  @Test
+  void shouldReserveNothingWhenPeersIncludeSpendingOfEarlierProcess() {
+    QuotaLedger restarted = QuotaLedger.of(timer, NO_TOLERANCE, true);
+    restarted.setPeers(1);
+    restarted.setPeerSpending(
+        new PeerSpending(
+            Map.of(TEAM, new QuotaLedger.Spent(2_000, 0)), 1, 0, true, VALIDITY, NO_LAG));
+    assertThat(restarted.trySpend(PLAN, 7_001)).isPresent();
+    assertThat(restarted.trySpend(PLAN, 7_000)).isEmpty();
+  }
+
+  /** Earlier processes spent the whole limit evenly and recorded it each second. */
   @Test
   void shouldNotExceedLimitWhenAllProcessesRestartTogether() {
     QuotaLedger restarted = QuotaLedger.of(timer, NO_TOLERANCE, true);
-    restarted.setPeers(Set.of(PEER));
+    restarted.setPeers(1);
+    restarted.setEarlierSpending(
+        EarlierSpending.recorded(Map.of(TEAM, Collections.nCopies(8, 1_125.0))));
     double spent = 0;
     for (int second = 0; second < 8; second++) {
-      restarted.addPeerSpending(PEER, Optional.of(Duration.ofSeconds(second)), Map.of());
+      restarted.setPeerSpending(spending(Map.of(), 1));
       double unexpiredSpendingOfEarlierProcesses = 9_000 * (8 - second) / 8.0;
       while (restarted.trySpend(PLAN, 100).isEmpty()) {
         spent += 100;
@@ -117,6 +136,15 @@
     assertThat(spent).isGreaterThan(7_000);
   }
 
+  @Test
+  void shouldNotExceedLimitWhenRecordShowsThatItWasSpentInLastSecond() {
+    QuotaLedger restarted = QuotaLedger.of(timer, NO_TOLERANCE, true);
+    restarted.setPeers(1);
+    restarted.setEarlierSpending(EarlierSpending.recorded(Map.of(TEAM, List.of(9_000.0, 0.0))));
+    restarted.setPeerSpending(spending(Map.of(), 1));
+    assertThat(restarted.trySpend(PLAN, 1)).isPresent();
+  }
+
   /**
    * Guards against exceeding a limit after a restart: all processes are killed at once after they
    * spent the whole limit in their last second, and the new ones have no record of it.
@@ -125,10 +153,10 @@
   void shouldSpendNothingMoreWhenLimitWasSpentRightBeforeAllProcessesStartedAgain() {
     final double spentByEarlierProcesses = 9_000;
     QuotaLedger restarted = QuotaLedger.of(timer, NO_TOLERANCE, true);
-    restarted.setPeers(Set.of(PEER));
+    restarted.setPeers(1);
     double spent = 0;
     for (int second = 0; second < 7; second++) {
-      restarted.addPeerSpending(PEER, Optional.of(Duration.ofSeconds(second)), Map.of());
+      restarted.setPeerSpending(spending(Map.of(), 1));
       while (restarted.trySpend(PLAN, 100).isEmpty()) {
         spent += 100;
       }
@@ -144,8 +172,11 @@
     assertThat(bounds.limit(new TeamQuota(1_000, 1_000, false, 0))).isEqualTo(9_000 + 0.8 * 900);
   }
 
-  private void report(double total, double recent) {
-    ledger.addPeerSpending(
-        PEER, Optional.empty(), Map.of(TEAM, new QuotaLedger.Spent(total, recent)));
+  private void report(double window, double lastSecond) {
+    ledger.setPeerSpending(spending(Map.of(TEAM, new QuotaLedger.Spent(window, lastSecond)), 0));
+  }
+
+  private static PeerSpending spending(Map<TeamName, QuotaLedger.Spent> spent, int withoutHistory) {
+    return new PeerSpending(spent, 1, withoutHistory, false, VALIDITY, LAG);
   }
 }
--- a/snipewick/src/test/java/org/snipewick/request/http/CallerServerFixture.java
+++ b/snipewick/src/test/java/org/snipewick/request/http/CallerServerFixture.java
@@ -14,6 +14,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
@@ -24,6 +25,7 @@
 import org.snipewick.catalogue.Catalogue;
 import org.snipewick.catalogue.CatalogueSource;
 import org.snipewick.catalogue.Entry;
+import org.snipewick.endpoint.EndpointClients;
 import org.snipewick.event.EventLog;
 import org.snipewick.event.EventType;
 import org.snipewick.identity.InstanceId;
@@ -52,21 +54,25 @@
   final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
   final CallerServer server;
 
-  private CallerServerFixture(CallerServerSettings settings) {
+  private CallerServerFixture(
+      CallerServerSettings settings, Optional<EndpointClients> endpointClients) {
     EventLog log = (type, subject, details) -> record(type);
     RequestServices services =
         new RequestServices(catalogue(), limits, ledger, pool, timer, log, metrics);
     AtomicLong sequence = new AtomicLong();
     try {
+      CallerServer.Dependencies dependencies =
+          new CallerServer.Dependencies(
+              settings,
+              RequestPipeline.of(services, inFlight),
+              inFlight,
+              timer,
+              log,
+              () -> RequestId.of(InstanceId.of("entry-1"), 1, sequence.incrementAndGet()));
       server =
-          CallerServer.listen(
-              new CallerServer.Dependencies(
-                  settings,
-                  RequestPipeline.of(services, inFlight),
-                  inFlight,
-                  timer,
-                  log,
-                  () -> RequestId.of(InstanceId.of("entry-1"), 1, sequence.incrementAndGet())));
+          endpointClients.isPresent()
+              ? CallerServer.listen(dependencies, eventloop -> endpointClients.get())
+              : CallerServer.listen(dependencies);
     } catch (IOException failed) {
       throw new UncheckedIOException(failed);
     }
@@ -78,7 +84,14 @@
   }
 
   static CallerServerFixture start(CallerServerSettings settings) {
-    return new CallerServerFixture(settings);
+    return new CallerServerFixture(settings, Optional.empty());
+  }
+
+  /** Starts a server that sends requests with the given clients on each event loop. */
+  static CallerServerFixture start(EndpointClients clients) {
+    return new CallerServerFixture(
+        CallerServerSettings.of(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)),
+        Optional.of(clients));
   }
 
   /** Waits until an event was recorded. */
--- a/snipewick/src/test/java/org/snipewick/store/TableMirrorTest.java
+++ b/snipewick/src/test/java/org/snipewick/store/TableMirrorTest.java
@@ -37,6 +37,7 @@
     start();
     reader.pages.remove().complete(new RowPage(List.of(), 10, false));
     reader.changes.remove().complete(changesUpTo(14, "a"));
+    timer.advance(Duration.ofSeconds(1));
     reader.changes.remove().complete(changesUpTo(14));
     assertThat(listener.received).containsExactly("rows", "changes a", "changes");
     assertThat(reader.requests).endsWith("changes 10", "changes 14", "changes 14");
@@ -73,12 +74,24 @@
     assertThat(listener.lastSentAt.since(new Moment(0, 0))).isEqualTo(Duration.ZERO);
   }
 
+  @Test
+  void shouldCollectChangesInFewPollsWhenTheyComeInSeries() {
+    start();
+    reader.pages.remove().complete(new RowPage(List.of(), 10, false));
+    reader.changes.remove().complete(changesUpTo(11, "a"));
+    timer.advance(Duration.ofMillis(999));
+    assertThat(reader.requests).endsWith("changes 10");
+    timer.advance(Duration.ofMillis(1));
+    assertThat(reader.requests).endsWith("changes 11");
+  }
+
   @Test
   void shouldContinueWhenListenerThrows() {
     listener.throwing = true;
     start();
     reader.pages.remove().complete(new RowPage(List.of(row("odd", 4)), 10, false));
     reader.changes.remove().complete(changesUpTo(11, "odd"));
+    timer.advance(Duration.ofSeconds(1));
     assertThat(reader.requests).endsWith("changes 10", "changes 11");
   }
 
@@ -86,7 +99,7 @@
     TableMirror.start(
         reader,
         "endpoints",
-        Duration.ofSeconds(2),
+        new PollSchedule(Duration.ofSeconds(2), Duration.ofSeconds(1)),
         timer,
         EventLog.none(),
         new SplittableRandom(1),
