Declare the response of a test final, as Checkstyle asks

Cause: a variable was declared four statements before its first use, which Checkstyle allows only for final ones.

--- a/snipewick/src/test/java/org/snipewick/request/http/StreamedAnswerTest.java
+++ b/snipewick/src/test/java/org/snipewick/request/http/StreamedAnswerTest.java
@@ -41,7 +41,7 @@
   void shouldSendStreamWhenAnswerCompletesOnAnotherThread() throws Exception {
     fixture.pool.setEndpoints(FakeEndpoint.status("e-1", 1));
     fixture.pool.holdsRequests = true;
-    CompletableFuture<HttpResponse<String>> response =
+    final CompletableFuture<HttpResponse<String>> response =
         fixture.postAsync("/v1/chat/completions", CallerServerFixture.chat(true));
     fixture.pool.awaitHeld();
     LockSupport.parkNanos(CALLBACK_REGISTRATION_NANOS);
