Refuse within the target latency and book returns; log changes of the collector

Change: a request waits until its target latency (WaitLimit, the old limit is kept as baseline), and each refusal books the next slot that is expected to become free (ReturnSchedule). Event 407 tells which instance collects the reports.

--- a/snipewick/src/main/java/org/snipewick/event/EventType.java
+++ b/snipewick/src/main/java/org/snipewick/event/EventType.java
@@ -78,6 +78,8 @@
   ENDPOINT_CHANGED(405, Level.INFO, "endpoint changed"),
   /** This instance is registered in the store, where its peers find it. */
   INSTANCE_REGISTERED(406, Level.INFO, "instance registered"),
+  /** Another instance collects the reports of this one from now on. */
+  COLLECTOR_CHANGED(407, Level.INFO, "collector changed"),
   /** The platform no longer responds. */
   PLATFORM_LOST(500, Level.WARNING, "platform unavailable"),
   /** The platform responds again. */
--- a/snipewick/src/main/java/org/snipewick/fleet/Fleet.java
+++ b/snipewick/src/main/java/org/snipewick/fleet/Fleet.java
@@ -52,6 +52,7 @@
   private final Map<String, Integer> triedCandidates = new HashMap<>();
 
   private FleetGroups groups;
+  private InstanceId latestCollector;
 
   private Fleet(
       FleetMember self,
@@ -70,6 +71,7 @@
     this.aggregator = ReportAggregator.of(quotaWindow);
     this.choice = new CollectorChoice(self.instance(), timer.nanoTime());
     this.groups = FleetGroups.of(self, List.of());
+    this.latestCollector = self.instance();
   }
 
   /** Receiver of the registered peers and of the sums over them. */
@@ -162,6 +164,7 @@
     final FleetMessages.Report report = reports.get();
     choice.replaceSilent(collectorTimeout(), now);
     InstanceId collector = choice.collector();
+    recordCollector(collector);
     if (collector.equals(self.instance())) {
       aggregator.addReport(self.instance(), report, now);
     } else {
@@ -178,6 +181,22 @@
     scheduleReport();
   }
 
+  private void recordCollector(InstanceId collector) {
+    if (!collector.equals(latestCollector)) {
+      latestCollector = collector;
+      events.record(
+          EventType.COLLECTOR_CHANGED,
+          collector.value(),
+          Map.of(
+              "group",
+              groups.ownGroup(),
+              "candidates",
+              groups.ownCandidates().size(),
+              "periodMillis",
+              groups.reportPeriod().toMillis()));
+    }
+  }
+
   private Duration collectorTimeout() {
     return groups
         .reportPeriod()
--- a/snipewick/src/main/java/org/snipewick/placement/PoolPlacement.java
+++ b/snipewick/src/main/java/org/snipewick/placement/PoolPlacement.java
@@ -24,18 +24,9 @@
  * when it has a free slot. Not thread-safe.
  */
 public final class PoolPlacement {
-  /**
-   * Share of the time until the answer must begin that a request may wait here; the rest is left
-   * for the queue at the endpoint and the prefill.
-   */
-  private static final double WAITING_SHARE_OF_TIME_LEFT = 0.5;
-
   /** Prompt tokens in prefill that delay an endpoint as much as all of its slots in use. */
   private static final double PREFILL_TOKENS_PER_FULL_LOAD = 20_000;
 
-  private static final Duration MIN_RETRY_AFTER = Duration.ofMillis(200);
-  private static final Duration MAX_RETRY_AFTER = Duration.ofSeconds(5);
-
   /**
    * Endpoints in other failure domains are chosen only if the local ones are about a third more
    * loaded.
@@ -44,13 +35,16 @@
 
   private final FailureDomain domain;
   private final QueueOrder order;
+  private final WaitLimit waitLimit;
   private final Map<EndpointId, EndpointLoad> endpoints = new HashMap<>();
   private final List<WaitingRequest> waiting = new ArrayList<>();
   private final ResidenceTime residenceTime = new ResidenceTime();
+  private final ReturnSchedule returns = new ReturnSchedule();
 
-  private PoolPlacement(FailureDomain domain, QueueOrder order) {
+  private PoolPlacement(FailureDomain domain, QueueOrder order, WaitLimit waitLimit) {
     this.domain = requireNonNull(domain, "domain");
     this.order = requireNonNull(order, "order");
+    this.waitLimit = requireNonNull(waitLimit, "waitLimit");
   }
 
   /**
@@ -58,10 +52,11 @@
    *
    * @param domain failure domain of the instance, whose endpoints are preferred
    * @param order order of the waiting requests
+   * @param waitLimit limit of the time that they may wait
    * @return queue
    */
-  public static PoolPlacement of(FailureDomain domain, QueueOrder order) {
-    return new PoolPlacement(domain, order);
+  public static PoolPlacement of(FailureDomain domain, QueueOrder order, WaitLimit waitLimit) {
+    return new PoolPlacement(domain, order, waitLimit);
   }
 
   /**
@@ -132,15 +127,16 @@
   private Optional<PlacementDecision> decide(
       WaitingRequest request, int requestsAhead, long nowNanos) {
     if (!hasCandidate(request)) {
-      return Optional.of(refused(request, PlacementDecision.Reason.NO_ENDPOINT, requestsAhead));
+      return Optional.of(
+          refused(request, PlacementDecision.Reason.NO_ENDPOINT, requestsAhead, nowNanos));
     }
     long pauseNanos = shortestRequestedPauseNanos(request, nowNanos);
-    if (pauseNanos > maxWaitNanos(request, nowNanos)) {
+    if (pauseNanos > waitLimit.maxWaitNanos(request, nowNanos)) {
       return Optional.of(
           new PlacementDecision.Refused(
               request,
               PlacementDecision.Reason.ENDPOINTS_PAUSED,
-              Duration.ofNanos(pauseNanos).plus(MIN_RETRY_AFTER)));
+              ReturnSchedule.atLeastMinimum(Duration.ofNanos(pauseNanos))));
     }
     if (requestsAhead == 0) {
       Optional<EndpointLoad> free = chooseEndpoint(request, nowNanos);
@@ -148,11 +144,14 @@
         return Optional.of(placed(request, free.get(), nowNanos));
       }
     }
-    if (nowNanos - request.arrivedNanos() > maxWaitNanos(request, request.arrivedNanos())) {
-      return Optional.of(refused(request, PlacementDecision.Reason.WAITED_TOO_LONG, requestsAhead));
+    if (nowNanos - request.arrivedNanos()
+        > waitLimit.maxWaitNanos(request, request.arrivedNanos())) {
+      return Optional.of(
+          refused(request, PlacementDecision.Reason.WAITED_TOO_LONG, requestsAhead, nowNanos));
     }
-    if (expectedWaitNanos(requestsAhead + 1) > maxWaitNanos(request, nowNanos)) {
-      return Optional.of(refused(request, PlacementDecision.Reason.QUEUE_TOO_LONG, requestsAhead));
+    if (expectedWaitNanos(requestsAhead + 1) > waitLimit.maxWaitNanos(request, nowNanos)) {
+      return Optional.of(
+          refused(request, PlacementDecision.Reason.QUEUE_TOO_LONG, requestsAhead, nowNanos));
     }
     return Optional.empty();
   }
@@ -217,13 +216,8 @@
   }
 
   private PlacementDecision refused(
-      WaitingRequest request, PlacementDecision.Reason reason, int requestsAhead) {
-    return new PlacementDecision.Refused(request, reason, retryAfter(requestsAhead));
-  }
-
-  /** Returns how long a request may wait in this queue, counted from the given time. */
-  private long maxWaitNanos(WaitingRequest request, long fromNanos) {
-    return (long) ((request.latestResponseStartNanos() - fromNanos) * WAITING_SHARE_OF_TIME_LEFT);
+      WaitingRequest request, PlacementDecision.Reason reason, int requestsAhead, long nowNanos) {
+    return new PlacementDecision.Refused(request, reason, retryAfter(requestsAhead, nowNanos));
   }
 
   /**
@@ -236,13 +230,10 @@
     return residenceTime.meanNanos().orElse(0) * slots / Math.max(1, inFlight);
   }
 
-  /** Returns the expected time until a request is placed, within the bounds for retries. */
-  private Duration retryAfter(int requestsAhead) {
-    Duration wait = Duration.ofNanos((long) expectedWaitNanos(requestsAhead + 1));
-    if (wait.compareTo(MIN_RETRY_AFTER) < 0) {
-      return MIN_RETRY_AFTER;
-    }
-    return wait.compareTo(MAX_RETRY_AFTER) > 0 ? MAX_RETRY_AFTER : wait;
+  /** Returns the time at which a refused request may return, and books a slot for it. */
+  private Duration retryAfter(int requestsAhead, long nowNanos) {
+    return ReturnSchedule.atLeastMinimum(
+        returns.book(expectedWaitNanos(requestsAhead + 1), expectedWaitNanos(1), nowNanos));
   }
 
   /**
--- a/snipewick/src/main/java/org/snipewick/relay/RelayDispatcher.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayDispatcher.java
@@ -23,6 +23,7 @@
 import org.snipewick.placement.PoolPlacement;
 import org.snipewick.placement.PoolRetryBudget;
 import org.snipewick.placement.QueueOrder;
+import org.snipewick.placement.WaitLimit;
 import org.snipewick.placement.WaitingRequest;
 import org.snipewick.registry.RegisteredEndpoint;
 import org.snipewick.route.CallKind;
@@ -381,7 +382,12 @@
 
   private PoolPlacement pool(PoolName name) {
     return pools.computeIfAbsent(
-        name, pool -> PoolPlacement.of(dependencies.domain(), QueueOrder.byTierOnTimeFirst()));
+        name,
+        pool ->
+            PoolPlacement.of(
+                dependencies.domain(),
+                QueueOrder.byTierOnTimeFirst(),
+                WaitLimit.untilTargetLatency()));
   }
 
   private PoolRetryBudget retryBudget(PoolName name) {
--- a/snipewick/src/test/java/org/snipewick/placement/PoolPlacementTest.java
+++ b/snipewick/src/test/java/org/snipewick/placement/PoolPlacementTest.java
@@ -19,7 +19,8 @@
   private static final FailureDomain REMOTE = FailureDomain.of("graz");
   private static final long SECOND_NANOS = 1_000_000_000L;
 
-  private final PoolPlacement pool = PoolPlacement.of(LOCAL, QueueOrder.byTierOnTimeFirst());
+  private final PoolPlacement pool =
+      PoolPlacement.of(LOCAL, QueueOrder.byTierOnTimeFirst(), WaitLimit.halfOfTimeLeft());
   private long nowNanos = SECOND_NANOS;
   private int addedRequests;
 
@@ -161,7 +162,7 @@
             PlacementDecision.Refused.class,
             refused -> {
               assertThat(refused.reason()).isEqualTo(PlacementDecision.Reason.ENDPOINTS_PAUSED);
-              assertThat(refused.retryAfter()).isGreaterThan(Duration.ofSeconds(40));
+              assertThat(refused.retryAfter()).isEqualTo(Duration.ofSeconds(40));
             });
   }
 
