Choose among samples of endpoints in a large fleet; poll less often after changes

Change: in fleets of more than 16 instances an endpoint is chosen among a random sample of the local and of the remote ones, of two or more (CandidateSample). Polls pause 500 ms and 2 s after changes of endpoints and instances.

--- a/snipewick/src/main/java/org/snipewick/placement/PoolPlacement.java
+++ b/snipewick/src/main/java/org/snipewick/placement/PoolPlacement.java
@@ -13,6 +13,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
 import org.snipewick.identity.EndpointId;
 import org.snipewick.identity.FailureDomain;
 import org.snipewick.identity.Tier;
@@ -36,15 +38,18 @@
   private final FailureDomain domain;
   private final QueueOrder order;
   private final WaitLimit waitLimit;
+  private final CandidateSample sample;
   private final Map<EndpointId, EndpointLoad> endpoints = new HashMap<>();
   private final List<WaitingRequest> waiting = new ArrayList<>();
   private final ResidenceTime residenceTime = new ResidenceTime();
   private final ReturnSchedule returns = new ReturnSchedule();
 
-  private PoolPlacement(FailureDomain domain, QueueOrder order, WaitLimit waitLimit) {
+  private PoolPlacement(
+      FailureDomain domain, QueueOrder order, WaitLimit waitLimit, RandomGenerator random) {
     this.domain = requireNonNull(domain, "domain");
     this.order = requireNonNull(order, "order");
     this.waitLimit = requireNonNull(waitLimit, "waitLimit");
+    this.sample = new CandidateSample(random);
   }
 
   /**
@@ -53,10 +58,21 @@
    * @param domain failure domain of the instance, whose endpoints are preferred
    * @param order order of the waiting requests
    * @param waitLimit limit of the time that they may wait
+   * @param random source of randomness for the choice of endpoints in a large fleet
    * @return queue
    */
-  public static PoolPlacement of(FailureDomain domain, QueueOrder order, WaitLimit waitLimit) {
-    return new PoolPlacement(domain, order, waitLimit);
+  public static PoolPlacement of(
+      FailureDomain domain, QueueOrder order, WaitLimit waitLimit, RandomGenerator random) {
+    return new PoolPlacement(domain, order, waitLimit, random);
+  }
+
+  /**
+   * Sets the number of instances that share the endpoints.
+   *
+   * @param count number of instances, this one included
+   */
+  public void setInstances(int count) {
+    sample.setInstances(count);
   }
 
   /**
@@ -174,12 +190,22 @@
     return !request.triedEndpoints().contains(load.endpoint().id());
   }
 
-  /** Chooses the available endpoint with a free slot and the lowest cost, then the lowest name. */
+  /**
+   * Chooses the available endpoint with a free slot and the lowest cost, then the lowest name,
+   * among a sample of the local ones and a sample of the remote ones.
+   */
   private Optional<EndpointLoad> chooseEndpoint(WaitingRequest request, long nowNanos) {
+    List<EndpointLoad> local = new ArrayList<>();
+    List<EndpointLoad> remote = new ArrayList<>();
+    for (EndpointLoad load : endpoints.values()) {
+      if (load.isAvailable(nowNanos) && maySendTo(load, request) && load.freeSlots(nowNanos) > 0) {
+        (isRemote(load) ? remote : local).add(load);
+      }
+    }
     double meanNanosPerUnit = meanNanosPerUnit();
-    return endpoints.values().stream()
-        .filter(load -> load.isAvailable(nowNanos) && maySendTo(load, request))
-        .filter(load -> load.freeSlots(nowNanos) > 0)
+    return Stream.concat(
+            sample.draw(local, endpoints.size()).stream(),
+            sample.draw(remote, endpoints.size()).stream())
         .min(
             Comparator.comparingDouble(
                     (EndpointLoad load) -> cost(load, meanNanosPerUnit, nowNanos))
--- a/snipewick/src/main/java/org/snipewick/platform/FrontProcess.java
+++ b/snipewick/src/main/java/org/snipewick/platform/FrontProcess.java
@@ -79,11 +79,11 @@
       new PollSchedule(MAX_WATCH_WAIT, Duration.ZERO);
 
   private static final PollSchedule ENDPOINT_POLLS =
-      new PollSchedule(MAX_WATCH_WAIT, Duration.ofMillis(150));
+      new PollSchedule(MAX_WATCH_WAIT, Duration.ofMillis(500));
 
   /** Late news of a peer delay nothing but the exchange of reports with it. */
   private static final PollSchedule INSTANCE_POLLS =
-      new PollSchedule(Duration.ofSeconds(10), Duration.ofSeconds(1));
+      new PollSchedule(Duration.ofSeconds(10), Duration.ofSeconds(2));
 
   /**
    * Time by which the maximum age of a proof that the configuration is current is shorter than the
--- a/snipewick/src/main/java/org/snipewick/relay/RelayDispatcher.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayDispatcher.java
@@ -68,6 +68,7 @@
     if (!peers.equals(instances)) {
       peers = Set.copyOf(instances);
       retryBudgets.clear();
+      pools.values().forEach(pool -> pool.setInstances(peers.size() + 1));
     }
   }
 
@@ -383,11 +384,16 @@
   private PoolPlacement pool(PoolName name) {
     return pools.computeIfAbsent(
         name,
-        pool ->
-            PoolPlacement.of(
-                dependencies.domain(),
-                QueueOrder.byTierOnTimeFirst(),
-                WaitLimit.untilTargetLatency()));
+        pool -> {
+          PoolPlacement created =
+              PoolPlacement.of(
+                  dependencies.domain(),
+                  QueueOrder.byTierOnTimeFirst(),
+                  WaitLimit.untilTargetLatency(),
+                  dependencies.random());
+          created.setInstances(peers.size() + 1);
+          return created;
+        });
   }
 
   private PoolRetryBudget retryBudget(PoolName name) {
--- a/snipewick/src/test/java/org/snipewick/placement/BurstTest.java
+++ b/snipewick/src/test/java/org/snipewick/placement/BurstTest.java
@@ -104,7 +104,9 @@
     private int sequence;
 
     private Play(WaitLimit waitLimit, long seed) {
-      pool = PoolPlacement.of(DOMAIN, QueueOrder.byTierOnTimeFirst(), waitLimit);
+      pool =
+          PoolPlacement.of(
+              DOMAIN, QueueOrder.byTierOnTimeFirst(), waitLimit, new SplittableRandom(1));
       random = new SplittableRandom(seed);
       List<RegisteredEndpoint> endpoints = new ArrayList<>();
       for (int index = 0; index < ENDPOINTS; index++) {
--- a/snipewick/src/test/java/org/snipewick/placement/PoolPlacementTest.java
+++ b/snipewick/src/test/java/org/snipewick/placement/PoolPlacementTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 import org.snipewick.identity.EndpointId;
 import org.snipewick.identity.FailureDomain;
@@ -20,7 +21,11 @@
   private static final long SECOND_NANOS = 1_000_000_000L;
 
   private final PoolPlacement pool =
-      PoolPlacement.of(LOCAL, QueueOrder.byTierOnTimeFirst(), WaitLimit.halfOfTimeLeft());
+      PoolPlacement.of(
+          LOCAL,
+          QueueOrder.byTierOnTimeFirst(),
+          WaitLimit.halfOfTimeLeft(),
+          new SplittableRandom(1));
   private long nowNanos = SECOND_NANOS;
   private int addedRequests;
 
