Place retries and the rest of streams after the target latency has passed

Cause: since requests wait only until their target latency, the check for paused endpoints compared a pause of zero with a negative limit. A retry, and the rest of a stream that broke later than the target latency, was refused as if all endpoints paused, also with free slots. RelayDispatcherTest found it: 5 of 60 repetitions of shouldResumeElsewhereWhenEventNeverEnds ended without the rest, each with "no endpoint for a retry" in its log.

Ruled out: the load beside that run, as the log shows the refusal, and the end of the stream itself, which was noticed each time.

Stalled and slow streams and an exception on the event loop have tests.

--- a/snipewick/src/main/java/org/snipewick/placement/PoolPlacement.java
+++ b/snipewick/src/main/java/org/snipewick/placement/PoolPlacement.java
@@ -147,7 +147,7 @@
           refused(request, PlacementDecision.Reason.NO_ENDPOINT, requestsAhead, nowNanos));
     }
     long pauseNanos = shortestRequestedPauseNanos(request, nowNanos);
-    if (pauseNanos > waitLimit.maxWaitNanos(request, nowNanos)) {
+    if (pauseNanos > 0 && pauseNanos > waitLimit.maxWaitNanos(request, nowNanos)) {
       return Optional.of(
           new PlacementDecision.Refused(
               request,
--- a/snipewick/src/main/java/org/snipewick/placement/WaitLimit.java
+++ b/snipewick/src/main/java/org/snipewick/placement/WaitLimit.java
@@ -26,15 +26,19 @@
 
   /**
    * Returns a limit at which a request can no longer be answered on time. In an overload, slots go
-   * to requests that still can, and the callers of the others are told early when to return.
+   * to requests that still can, and the callers of the others are told early when to return. A
+   * request that an endpoint may have run cannot be told that; for it, and for the rest of a
+   * stream, {@link #halfOfTimeLeft} applies.
    *
    * @return limit, never longer than {@link #halfOfTimeLeft}
    */
   static WaitLimit untilTargetLatency() {
     WaitLimit halfOfTimeLeft = halfOfTimeLeft();
-    return (request, fromNanos) ->
-        Math.min(
-            halfOfTimeLeft.maxWaitNanos(request, fromNanos),
-            request.onTimeUntilNanos() - fromNanos);
+    return (request, fromNanos) -> {
+      long half = halfOfTimeLeft.maxWaitNanos(request, fromNanos);
+      return request.triedEndpoints().isEmpty()
+          ? Math.min(half, request.onTimeUntilNanos() - fromNanos)
+          : half;
+    };
   }
 }
--- a/snipewick/src/test/java/org/snipewick/placement/PoolPlacementTest.java
+++ b/snipewick/src/test/java/org/snipewick/placement/PoolPlacementTest.java
@@ -224,6 +224,49 @@
                 assertThat(refused.reason()).isEqualTo(PlacementDecision.Reason.WAITED_TOO_LONG));
   }
 
+  @Test
+  void shouldPlaceRetryWhenItsTargetLatencyHasPassed() {
+    PoolPlacement current =
+        PoolPlacement.of(
+            LOCAL,
+            QueueOrder.byTierOnTimeFirst(),
+            WaitLimit.untilTargetLatency(),
+            new SplittableRandom(1));
+    current.update(List.of(endpoint("a", LOCAL, 4), endpoint("b", LOCAL, 4)));
+    long arrivedNanos = nowNanos;
+    nowNanos += 3 * SECOND_NANOS;
+    current.add(
+        new WaitingRequest(
+            "retry",
+            Tier.ONE,
+            arrivedNanos,
+            arrivedNanos + SECOND_NANOS,
+            arrivedNanos + 4 * SECOND_NANOS,
+            0,
+            Set.of(EndpointId.of("a"))));
+    assertThat(current.decide(nowNanos))
+        .singleElement()
+        .isInstanceOf(PlacementDecision.Placed.class);
+  }
+
+  @Test
+  void shouldLetRetryWaitForSlotWhenItsTargetLatencyHasPassed() {
+    WaitLimit limit = WaitLimit.untilTargetLatency();
+    WaitingRequest first =
+        request("first", Tier.ONE, nowNanos, nowNanos + SECOND_NANOS, nowNanos + 4 * SECOND_NANOS);
+    WaitingRequest retry =
+        new WaitingRequest(
+            "retry",
+            Tier.ONE,
+            nowNanos,
+            nowNanos + SECOND_NANOS,
+            nowNanos + 4 * SECOND_NANOS,
+            0,
+            Set.of(EndpointId.of("a")));
+    assertThat(limit.maxWaitNanos(first, nowNanos)).isEqualTo(SECOND_NANOS);
+    assertThat(limit.maxWaitNanos(retry, nowNanos)).isEqualTo(2 * SECOND_NANOS);
+  }
+
   @Test
   void shouldRemoveWaitingRequestWhenItsCallerDisconnects() {
     pool.update(List.of(endpoint("a", LOCAL, 1)));
--- a/snipewick/src/test/java/org/snipewick/relay/RelayDispatcherTest.java
+++ b/snipewick/src/test/java/org/snipewick/relay/RelayDispatcherTest.java
@@ -5,7 +5,9 @@
 
 import java.io.IOException;
 import java.time.Duration;
+import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.RepeatedTest;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -16,6 +18,8 @@
 
 /** Tests what endpoints say of themselves in responses, and responses without an end. */
 class RelayDispatcherTest {
+  private static final long DRIP_INTERVAL_NANOS = 100_000_000;
+
   private final RelayFixture relay =
       new RelayFixture(
           Plans.plan(
@@ -137,7 +141,8 @@
     assertThat(relay.exchange(request("GET", "/safe/"))).endsWith("sound");
   }
 
-  @Test
+  /** Each repetition breaks the stream at another time; some do after the target latency. */
+  @RepeatedTest(10)
   @Timeout(60)
   void shouldResumeElsewhereWhenEventNeverEnds() throws Exception {
     ScriptedEndpoint endless =
@@ -158,6 +163,35 @@
     relay.awaitEnding(endless);
   }
 
+  @Test
+  void shouldEndStalledStreamAtDeadlineWhenByteArrivesNowAndThen() throws IOException {
+    ScriptedEndpoint stalled = ScriptedEndpoint.start(dripping(Integer.MAX_VALUE));
+    relay.setEndpoints("stream", stalled);
+    long startNanos = System.nanoTime();
+    String response = relay.exchange(request("GET", "/stream/", "Left-Ms: 900\r\n"));
+    assertThat(response).endsWith("<end>").doesNotContain("\r\n0\r\n");
+    assertThat(Duration.ofNanos(System.nanoTime() - startNanos))
+        .isBetween(Duration.ofMillis(800), Duration.ofMillis(2_000));
+    relay.awaitEnding(stalled);
+  }
+
+  @Test
+  void shouldNotCutStreamWhenItIsSlowButEndsBeforeDeadline() throws IOException {
+    ScriptedEndpoint slow = ScriptedEndpoint.start(dripping(12));
+    relay.setEndpoints("stream", slow);
+    String response = relay.exchange(request("GET", "/stream/", "Left-Ms: 9000\r\n"));
+    assertThat(response.replaceAll("\r\n[0-9a-f]+\r\n", "")).contains("x".repeat(12));
+    assertThat(response).endsWith("\r\n0\r\n\r\n");
+  }
+
+  @Test
+  void shouldServeOthersWhenTaskOnEventLoopThrows() throws IOException {
+    relay.setEndpoints("safe", ScriptedEndpoint.start(closing(signed("sound"))));
+    relay.throwOnEventLoop(new StackOverflowError("nested"));
+    relay.throwOnEventLoop(new AssertionError("defect"));
+    assertThat(relay.exchange(request("GET", "/safe/"))).endsWith("sound");
+  }
+
   private static String unescape(String text) {
     return text.replace("\\r", "\r").replace("\\n", "\n");
   }
@@ -193,6 +227,23 @@
     };
   }
 
+  /** Returns a script of a stream that sends a byte every 100 ms and then ends. */
+  private static ScriptedEndpoint.Script dripping(int bytes) {
+    return (request, connection) -> {
+      ScriptedEndpoint.write(
+          connection,
+          "HTTP/1.1 200 OK\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+              + "7\r\nid: 1\n\n\r\n"
+              + (bytes == Integer.MAX_VALUE ? "fffffff\r\n" : Integer.toHexString(bytes) + "\r\n"));
+      for (int index = 0; index < bytes; index++) {
+        LockSupport.parkNanos(DRIP_INTERVAL_NANOS);
+        ScriptedEndpoint.write(connection, "x");
+      }
+      ScriptedEndpoint.write(connection, "\r\n0\r\n\r\n");
+      connection.close();
+    };
+  }
+
   /** Returns a script that repeats a text until the relay closes the connection. */
   private static ScriptedEndpoint.Script endless(String start, String repeated) {
     byte[] block = repeated.repeat(1 + 4_096 / repeated.length()).getBytes(ISO_8859_1);
--- a/snipewick/src/test/java/org/snipewick/relay/RelayFixture.java
+++ b/snipewick/src/test/java/org/snipewick/relay/RelayFixture.java
@@ -122,6 +122,14 @@
         EndpointId.of(id), 1, PoolName.of(pool), DOMAIN, "127.0.0.1", port, 4, false);
   }
 
+  /** Runs a task that throws on the event loop of the relay. */
+  void throwOnEventLoop(Error thrown) {
+    eventloop.execute(
+        () -> {
+          throw thrown;
+        });
+  }
+
   /** Waits until the connection of the only request of an endpoint has ended. */
   void awaitEnding(ScriptedEndpoint endpoint) {
     long endNanos = System.nanoTime() + Duration.ofSeconds(READ_TIMEOUT_MILLIS / 1000).toNanos();
