Use the value of a handler in FleetTest, as Error Prone asks

Cause: the test dropped the future that a handler of messages returns, which Error Prone rejects when Maven compiles the tests; javac alone had accepted it. Change: handlers of the test are consumers and the future is assigned.

--- a/snipewick/src/test/java/org/snipewick/fleet/FleetTest.java
+++ b/snipewick/src/test/java/org/snipewick/fleet/FleetTest.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BiConsumer;
 import java.util.function.BiFunction;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -148,7 +149,7 @@
 
   private final class Instance implements PeerNetwork, Fleet.Listener {
     private final InstanceId id;
-    private final Map<Class<?>, BiFunction<InstanceId, PeerMessage, ?>> handlers = new HashMap<>();
+    private final Map<Class<?>, BiConsumer<InstanceId, PeerMessage>> handlers = new HashMap<>();
     private final Fleet fleet;
     private PeerTotals latest;
     private InstanceId latestFrom;
@@ -184,7 +185,7 @@
         if (message instanceof FleetMessages.PeerSum) {
           receiver.latestFrom = id;
         }
-        receiver.handlers.get(message.getClass()).apply(id, message);
+        receiver.handlers.get(message.getClass()).accept(id, message);
       }
     }
 
@@ -198,7 +199,11 @@
     public <M extends PeerMessage> void handle(
         Class<M> type,
         BiFunction<InstanceId, M, CompletableFuture<? extends PeerMessage>> handler) {
-      handlers.put(type, (from, message) -> handler.apply(from, (M) message));
+      handlers.put(
+          type,
+          (from, message) -> {
+            var unused = handler.apply(from, (M) message);
+          });
     }
 
     @Override
