--- a/systemtests/src/test/java/org/snipewick/systemtests/platform/StoreWatchTest.java
+++ b/systemtests/src/test/java/org/snipewick/systemtests/platform/StoreWatchTest.java
@@ -22,6 +22,7 @@
 import org.snipewick.identity.FailureDomain;
 import org.snipewick.identity.InstanceId;
 import org.snipewick.store.MirrorListener;
+import org.snipewick.store.PollSchedule;
 import org.snipewick.store.RowChanges;
 import org.snipewick.store.TableMirror;
 import org.snipewick.store.TableRow;
@@ -77,7 +78,13 @@
   private TableMirror startMirror() {
     TableMirror mirror =
         TableMirror.start(
-            store, TABLE, MIRROR_WAIT, fixture.timer(), EventLog.none(), new Random(5), rowCopy);
+            store,
+            TABLE,
+            new PollSchedule(MIRROR_WAIT, Duration.ZERO),
+            fixture.timer(),
+            EventLog.none(),
+            new Random(5),
+            rowCopy);
     Await.until(WAIT_TIMEOUT, "first read of all rows", () -> rowCopy.fullReadCount() == 1);
     return mirror;
   }
