--- a/snipewick/src/main/java/org/snipewick/fleet/FleetGroups.java
+++ b/snipewick/src/main/java/org/snipewick/fleet/FleetGroups.java
@@ -15,9 +15,9 @@
 import org.snipewick.identity.InstanceId;
 
 /**
- * Division of the instances into groups, whose reports a collector in each group sums up. The
- * number of messages of an instance thus grows with the square root of the number of instances. In
- * a small fleet each instance is a group of its own, so that reports arrive without a detour.
+ * Division of the instances into groups, whose reports a collector in each group sums up, so that
+ * no instance of a large fleet exchanges messages with all others. In a small fleet each instance
+ * is a group of its own, and reports arrive without a detour.
  *
  * @param self this instance
  * @param ownGroup name of the group of this instance
--- a/snipewick/src/main/java/org/snipewick/relay/RelayDispatcher.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayDispatcher.java
@@ -164,7 +164,7 @@
       if (decision instanceof PlacementDecision.Placed placed) {
         send(call, placed);
       } else {
-        refuse(call, (PlacementDecision.Refused) decision);
+        fail(call, Refusals.toFailure((PlacementDecision.Refused) decision, call.mayHaveRun()));
       }
     }
     if (pool.waiting() > 0) {
@@ -184,29 +184,6 @@
     List.copyOf(pools.keySet()).forEach(this::decidePlacement);
   }
 
-  private void refuse(RelayCall call, PlacementDecision.Refused refused) {
-    FailureType type =
-        switch (refused.reason()) {
-          case NO_ENDPOINT, ENDPOINTS_PAUSED -> FailureType.NO_ENDPOINT;
-          case QUEUE_TOO_LONG -> FailureType.SHED;
-          case WAITED_TOO_LONG -> FailureType.DEADLINE_UNREACHABLE;
-        };
-    Failure failure =
-        call.mayHaveRun()
-            ? Failure.unknown(
-                FailureType.OUTCOME_UNKNOWN, "no endpoint for a retry: " + type.title())
-            : Failure.notRun(type, detailOf(refused.reason())).withRetryAfter(refused.retryAfter());
-    fail(call, failure);
-  }
-
-  private static String detailOf(PlacementDecision.Reason reason) {
-    return switch (reason) {
-      case NO_ENDPOINT -> "no endpoint accepts requests";
-      case ENDPOINTS_PAUSED -> "all endpoints asked for a pause";
-      case QUEUE_TOO_LONG, WAITED_TOO_LONG -> "no free slot at an endpoint";
-    };
-  }
-
   private void send(RelayCall call, PlacementDecision.Placed placed) {
     RelayAttempt attempt =
         new RelayAttempt(
