--- a/snipewick/src/main/java/org/snipewick/event/EventType.java
+++ b/snipewick/src/main/java/org/snipewick/event/EventType.java
@@ -54,6 +54,8 @@
   SCHEDULER_DECIDED(214, Level.INFO, "scheduler decided"),
   /** A request is retried at another endpoint because an attempt failed or was rejected. */
   REQUEST_REPEATED(215, Level.INFO, "request sent again"),
+  /** An endpoint closed or reset a connection before its response was complete. */
+  RESPONSE_BROKEN(216, Level.INFO, "response broke off"),
   /** A catalogue change was accepted by the platform. */
   CATALOGUE_ACCEPTED(300, Level.INFO, "catalogue change accepted"),
   /** A catalogue version took effect on this instance. */
--- a/snipewick/src/main/java/org/snipewick/platform/PlatformHeaders.java
+++ b/snipewick/src/main/java/org/snipewick/platform/PlatformHeaders.java
@@ -14,6 +14,7 @@
           "Tenant",
           "Expect-Instance",
           "Token-Usage",
+          "Prompt-Prefix",
           "Server-Stamp",
           "Server-Load",
           "Not-Executed",
--- a/snipewick/src/main/java/org/snipewick/relay/HeaderNames.java
+++ b/snipewick/src/main/java/org/snipewick/relay/HeaderNames.java
@@ -16,6 +16,8 @@
  * @param team name of the team, set for the endpoint
  * @param expectedEndpoint name of the only endpoint that may run the request
  * @param tokens number of prompt tokens and maximum number of output tokens, separated by a comma
+ * @param promptParts parts of the prompt in order, as comma-separated pairs of identifier and
+ *     number of tokens
  * @param signature signature of the endpoint, which each successful response must have
  * @param load numbers of running requests, queued requests and slots of the endpoint, separated by
  *     commas
@@ -32,6 +34,7 @@
     String team,
     String expectedEndpoint,
     String tokens,
+    String promptParts,
     String signature,
     String load,
     String notRun,
@@ -48,6 +51,7 @@
     requireNonNull(team, "team");
     requireNonNull(expectedEndpoint, "expectedEndpoint");
     requireNonNull(tokens, "tokens");
+    requireNonNull(promptParts, "promptParts");
     requireNonNull(signature, "signature");
     requireNonNull(load, "load");
     requireNonNull(notRun, "notRun");
--- a/snipewick/src/main/java/org/snipewick/relay/RelayAttempt.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayAttempt.java
@@ -15,6 +15,7 @@
   private final long promptTokens;
   private final long placedNanos;
   private final Exchange exchange = Exchange.of();
+  private Progress progress = Progress.SENT;
   private boolean isPrefillEnded;
   private boolean hasEnded;
 
@@ -26,6 +27,16 @@
     this.placedNanos = placedNanos;
   }
 
+  /** How much of the response has arrived. */
+  enum Progress {
+    /** Nothing; the request may have been sent. */
+    SENT,
+    /** The status and the header fields. */
+    HEAD,
+    /** A part of the body, so the endpoint has begun to write the answer. */
+    BODY
+  }
+
   RegisteredEndpoint endpoint() {
     return endpoint;
   }
@@ -34,6 +45,20 @@
     return exchange;
   }
 
+  /** Records that a part of the response has arrived. */
+  void advance(Progress reached) {
+    progress = requireNonNull(reached, "reached");
+  }
+
+  Progress progress() {
+    return progress;
+  }
+
+  /** Returns the monotonic time at which the request was placed at the endpoint, in nanoseconds. */
+  long placedNanos() {
+    return placedNanos;
+  }
+
   /** Records that prefill has ended or was abandoned; later calls have no effect. */
   void endPrefill() {
     if (!isPrefillEnded) {
--- a/snipewick/src/main/java/org/snipewick/relay/RelayDispatcher.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayDispatcher.java
@@ -202,7 +202,7 @@
         .run(
             (response, thrown) -> {
               if (thrown != null) {
-                attemptFailed(call, attempt, thrown.toString());
+                responseBroken(call, attempt, thrown);
               } else {
                 headReceived(call, attempt, response);
               }
@@ -214,6 +214,7 @@
       attempt.cancel(now());
       return;
     }
+    attempt.advance(RelayAttempt.Progress.HEAD);
     EndpointResponseHead head = EndpointResponseHead.of(response);
     if (head.announcesDeparture(dependencies.headerNames())) {
       departureListener.accept(attempt.endpoint());
@@ -253,7 +254,7 @@
               if (call.isFinished()) {
                 attempt.cancel(now());
               } else if (thrown != null) {
-                attemptFailed(call, attempt, thrown.toString());
+                responseBroken(call, attempt, thrown);
               } else {
                 attempt.endWithResponse(!head.isServerError(), now());
                 succeed(call, head.status());
@@ -280,7 +281,14 @@
   }
 
   @Override
-  public void attemptFailed(RelayCall call, RelayAttempt attempt, String detail) {
+  public void responseBroken(RelayCall call, RelayAttempt attempt, Exception thrown) {
+    if (!call.isFinished() && attempt.exchange().mayHaveBeenSent()) {
+      telemetry.responseBroken(call, attempt, thrown.toString(), now());
+    }
+    attemptFailed(call, attempt, thrown.toString());
+  }
+
+  private void attemptFailed(RelayCall call, RelayAttempt attempt, String detail) {
     if (call.isFinished()) {
       attempt.cancel(now());
       return;
--- a/snipewick/src/main/java/org/snipewick/relay/RelayMetrics.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayMetrics.java
@@ -41,6 +41,10 @@
     registry.counter("relay_repeats").inc();
   }
 
+  void countBrokenResponse(RelayAttempt.Progress progress) {
+    registry.counter("relay_broken_" + progress.name().toLowerCase(Locale.ROOT)).inc();
+  }
+
   void countCallerDisconnection() {
     registry.counter("relay_callers_left").inc();
   }
--- a/snipewick/src/main/java/org/snipewick/relay/RelayRequest.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayRequest.java
@@ -4,6 +4,7 @@
 
 import io.activej.http.HttpMethod;
 import java.util.Optional;
+import org.snipewick.quarantine.SharedParts;
 import org.snipewick.route.RoutingPlan;
 
 /**
@@ -20,6 +21,7 @@
  * @param tokens number of prompt tokens and maximum number of output tokens together; 0 if not
  *     stated
  * @param promptTokens number of prompt tokens; 0 if not stated
+ * @param sharedParts parts of the prompt that other requests may contain too
  */
 @SuppressWarnings("ArrayRecordComponent") // The body is forwarded once and never changed.
 record RelayRequest(
@@ -32,7 +34,8 @@
     long receivedNanos,
     Optional<Long> timeLeftNanos,
     long tokens,
-    long promptTokens) {
+    long promptTokens,
+    SharedParts sharedParts) {
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
   RelayRequest {
@@ -42,6 +45,7 @@
     requireNonNull(path, "path");
     requireNonNull(headers, "headers");
     requireNonNull(timeLeftNanos, "timeLeftNanos");
+    requireNonNull(sharedParts, "sharedParts");
   }
 
   /** Creates a request; a malformed number in a header is treated as missing. */
@@ -69,7 +73,11 @@
         headers
             .first(headerNames.tokens())
             .flatMap(tokens -> parseNumber(tokens.split(",", 2)[0]))
-            .orElse(0L));
+            .orElse(0L),
+        headers
+            .first(headerNames.promptParts())
+            .map(SharedParts::parse)
+            .orElse(SharedParts.empty()));
   }
 
   String host() {
--- a/snipewick/src/main/java/org/snipewick/relay/RelayStream.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayStream.java
@@ -46,6 +46,9 @@
     /** Called when the endpoint's stream is complete. */
     void onComplete();
 
+    /** Called when the endpoint's stream broke off, before it is resumed or the body ends early. */
+    void onBroken(Exception thrown);
+
     /**
      * Resumes a broken stream at another endpoint.
      *
@@ -157,6 +160,9 @@
   }
 
   private void sourceFailed(Exception thrown, SettablePromise<ByteBuf> result) {
+    if (!isEnded) {
+      listener.onBroken(thrown);
+    }
     if (isEnded || eventSplitter.isEmpty()) {
       fail(thrown, result);
       return;
--- a/snipewick/src/main/java/org/snipewick/relay/RelayTelemetry.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayTelemetry.java
@@ -31,6 +31,7 @@
     details.put("present", placed.inFlight());
     details.put("slots", placed.endpoint().slots());
     details.put("waiting", placed.waiting());
+    details.put("promptParts", promptParts(call));
     details.put("planVersion", call.plan().version());
     details.put("proofAgeMillis", dependencies.plans().proofAgeMillis());
     record(EventType.REQUEST_DISPATCHED, call, details);
@@ -41,6 +42,27 @@
     metrics.recordFirstEvent(call.tier(), nowNanos - call.request().receivedNanos());
   }
 
+  /**
+   * Records that the connection of an attempt ended before its response was complete. Connections
+   * of several requests to one endpoint end at the same time if the endpoint itself has ended.
+   */
+  void responseBroken(RelayCall call, RelayAttempt attempt, String detail, long nowNanos) {
+    metrics.countBrokenResponse(attempt.progress());
+    Map<String, Object> details = commonDetails(call, nowNanos);
+    details.put("endpoint", attempt.endpoint().id().toString());
+    details.put("endpointStarted", attempt.endpoint().startedEpochMillis());
+    details.put("progress", attempt.progress().name());
+    details.put("attempt", call.attempts());
+    details.put("attemptMillis", (nowNanos - attempt.placedNanos()) / NANOS_PER_MILLI);
+    details.put("promptParts", promptParts(call));
+    details.put("detail", detail);
+    record(EventType.RESPONSE_BROKEN, call, details);
+  }
+
+  private static String promptParts(RelayCall call) {
+    return String.join(",", call.request().sharedParts().ids());
+  }
+
   /** Records that a request will be sent again after an attempt that failed. */
   void retried(RelayCall call, RelayAttempt failed, String detail, long nowNanos) {
     metrics.countRetry();
--- a/snipewick/src/main/java/org/snipewick/relay/StreamForwarder.java
+++ b/snipewick/src/main/java/org/snipewick/relay/StreamForwarder.java
@@ -30,8 +30,8 @@
   /** Handles the outcomes of calls and of their attempts. */
   interface CallHandler {
 
-    /** Handles an attempt that failed before its response began. */
-    void attemptFailed(RelayCall call, RelayAttempt attempt, String detail);
+    /** Handles an attempt whose connection ended before the body of its response began. */
+    void responseBroken(RelayCall call, RelayAttempt attempt, Exception thrown);
 
     /** Ends a call whose response was delivered completely. */
     void succeed(RelayCall call, int status);
@@ -64,8 +64,9 @@
               if (call.isFinished()) {
                 attempt.cancel(timer.nanoTime());
               } else if (thrown != null) {
-                callHandler.attemptFailed(call, attempt, thrown.toString());
+                callHandler.responseBroken(call, attempt, thrown);
               } else {
+                attempt.advance(RelayAttempt.Progress.BODY);
                 attempt.endPrefill();
                 ChannelSupplier<ByteBuf> all =
                     first == null ? body : ChannelSuppliers.concat(ChannelSupplier.of(first), body);
@@ -105,6 +106,14 @@
         callHandler.decidePlacement(call.pool());
       }
 
+      @Override
+      public void onBroken(Exception thrown) {
+        call.attempt()
+            .ifPresent(
+                attempt ->
+                    telemetry.responseBroken(call, attempt, thrown.toString(), timer.nanoTime()));
+      }
+
       @Override
       public Promise<ChannelSupplier<ByteBuf>> resume(Exception thrown) {
         return resumeAtAnotherEndpoint(call, thrown);
--- a/snipewick/src/test/java/org/snipewick/relay/RelayFixture.java
+++ b/snipewick/src/test/java/org/snipewick/relay/RelayFixture.java
@@ -42,6 +42,7 @@
           "Team",
           "Only-At",
           "Tokens",
+          "Parts",
           "Signature",
           "Load",
           "Not-Run",
