Treat a stream that ends inside an event as broken off on every route

What callers saw: a stream without length or chunks that an endpoint closed in the middle of an event, or before its first event, was delivered as complete (200, last chunk), if its route cannot be resumed. Such a stream is how a crash looks when the endpoint does not delimit its answers.

Cause: RelayStream looked for events only where they are buffered to be resumed.

Change: EventBoundary follows the events of each stream while its bytes are forwarded as they arrive; one that ends inside an event ends the caller's body as broken. A stream that is not delimited and ends before its first event is no answer.

--- a/snipewick/src/main/java/org/snipewick/relay/EndpointResponseHead.java
+++ b/snipewick/src/main/java/org/snipewick/relay/EndpointResponseHead.java
@@ -33,6 +33,8 @@
   private static final int LOAD_VALUES = 3;
 
   private static final String CONTENT_ENCODING = "Content-Encoding";
+  private static final String CONTENT_LENGTH = "Content-Length";
+  private static final String TRANSFER_ENCODING = "Transfer-Encoding";
 
   EndpointResponseHead {
     requireNonNull(headers, "headers");
@@ -42,6 +44,11 @@
     return new EndpointResponseHead(response.getCode(), RelayResponses.headersOf(response));
   }
 
+  /** Returns whether the end of the body can be told from the end of the connection. */
+  boolean isDelimited() {
+    return headers.has(CONTENT_LENGTH) || headers.has(TRANSFER_ENCODING);
+  }
+
   boolean isSuccess() {
     return status >= FIRST_SUCCESS && status < FIRST_REDIRECTION;
   }
--- a/snipewick/src/main/java/org/snipewick/relay/EventSplitter.java
+++ b/snipewick/src/main/java/org/snipewick/relay/EventSplitter.java
@@ -16,28 +16,22 @@
 
   private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
   private Optional<String> lastId = Optional.empty();
-  private byte previousByte;
+  private final EventBoundary boundary = new EventBoundary();
 
   /**
-   * Adds bytes and returns all bytes of the events that are now complete. An event ends with two
-   * line feeds in succession; carriage returns are returned too but ignored.
+   * Adds bytes and returns all bytes of the events that are now complete.
    *
    * @throws IllegalStateException if an event is larger than {@link #MAX_EVENT_BYTES}
    */
   byte[] feed(byte[] bytes) {
     ByteArrayOutputStream complete = new ByteArrayOutputStream(bytes.length);
     for (byte next : bytes) {
-      if (next == '\r') {
-        pending.write(next);
-        continue;
-      }
       pending.write(next);
-      if (next == '\n' && previousByte == '\n') {
+      if (boundary.accept(next)) {
         updateLastId();
         complete.writeBytes(pending.toByteArray());
         pending.reset();
       }
-      previousByte = next;
     }
     if (pending.size() > MAX_EVENT_BYTES) {
       throw new IllegalStateException("event is larger than " + MAX_EVENT_BYTES + " bytes");
@@ -58,7 +52,7 @@
   /** Discards an incomplete event, which another endpoint will send again. */
   void dropPending() {
     pending.reset();
-    previousByte = 0;
+    boundary.reset();
   }
 
   private void updateLastId() {
--- a/snipewick/src/main/java/org/snipewick/relay/RelayStream.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayStream.java
@@ -14,9 +14,9 @@
 import org.snipewick.time.TimerService;
 
 /**
- * Body of a response that forwards the events of an endpoint as they arrive. If the stream is
- * resumable, only complete events are forwarded, and if it breaks off, the rest is read from
- * another endpoint.
+ * Body of a response that forwards the events of an endpoint as they arrive. A stream that ends
+ * inside an event has broken off. If the stream is resumable, only complete events are forwarded,
+ * and if it breaks off, the rest is read from another endpoint.
  */
 final class RelayStream extends AbstractChannelSupplier<ByteBuf> {
   /**
@@ -28,6 +28,7 @@
   private final TimerService timer;
   private final Listener listener;
   private final Optional<EventSplitter> eventSplitter;
+  private final EventBoundary boundary = new EventBoundary();
   private ChannelSupplier<ByteBuf> source;
   private boolean isEnded;
   private int chunkCount;
@@ -125,11 +126,15 @@
       firstChunkNanos = lastChunkNanos;
     }
     chunkCount++;
-    if (eventSplitter.isEmpty()) {
-      result.set(buffer);
-      return true;
+    byte[] bytes = buffer.asArray();
+    if (eventSplitter.isPresent()) {
+      return forwardCompleteEvents(eventSplitter.get(), bytes, result);
+    }
+    for (byte next : bytes) {
+      boundary.accept(next);
     }
-    return forwardCompleteEvents(eventSplitter.get(), buffer.asArray(), result);
+    result.set(ByteBuf.wrapForReading(bytes));
+    return true;
   }
 
   private boolean forwardCompleteEvents(
@@ -150,7 +155,7 @@
   }
 
   private void sourceEnded(SettablePromise<ByteBuf> result) {
-    if (eventSplitter.isPresent() && eventSplitter.get().isInsideEvent()) {
+    if (eventSplitter.map(EventSplitter::isInsideEvent).orElse(boundary.isInsideEvent())) {
       sourceFailed(new IllegalStateException("stream ended inside an event"), result);
       return;
     }
--- a/snipewick/src/main/java/org/snipewick/relay/StreamForwarder.java
+++ b/snipewick/src/main/java/org/snipewick/relay/StreamForwarder.java
@@ -68,6 +68,14 @@
                 attempt.cancel(timer.nanoTime());
               } else if (thrown != null) {
                 callHandler.responseBroken(call, attempt, thrown);
+              } else if (first != null && !first.canRead()) {
+                first.recycle();
+                forward(call, attempt, head, body);
+              } else if (first == null && !head.isDelimited()) {
+                callHandler.responseBroken(
+                    call,
+                    attempt,
+                    new IllegalStateException("stream ended before its first event"));
               } else {
                 attempt.advance(RelayAttempt.Progress.BODY);
                 attempt.endPrefill();
--- a/snipewick/src/test/java/org/snipewick/relay/RelayFixture.java
+++ b/snipewick/src/test/java/org/snipewick/relay/RelayFixture.java
@@ -63,6 +63,7 @@
       PlanController.of(timer, EventLog.none(), Duration.ofMinutes(1));
   private final Thread thread = new Thread(eventloop, "relay");
   private final int port;
+  private int startedEndpoints;
   private RelayServer server;
   private EndpointRegistry registry;
 
@@ -116,6 +117,22 @@
     runOnEventLoop(() -> registry.replaceAll(listed));
   }
 
+  /** Sets the only endpoint of a pool, which counts as started after those that were set before. */
+  void setStartedEndpoint(String pool, ScriptedEndpoint scripted) {
+    startedEndpoints++;
+    RegisteredEndpoint listed =
+        new RegisteredEndpoint(
+            EndpointId.of("e0"),
+            1 + startedEndpoints,
+            PoolName.of(pool),
+            DOMAIN,
+            "127.0.0.1",
+            scripted.port(),
+            4,
+            false);
+    runOnEventLoop(() -> registry.replaceAll(List.of(listed)));
+  }
+
   /** Sets two endpoints of a pool; no process listens on the port of the preferred one. */
   void setEndpointsWithUnreachableFirst(String pool, ScriptedEndpoint reachable)
       throws IOException {
