Resume a stream only with the content that it began with

What callers saw: if the endpoint that was to resume a broken stream answered 200 with an error document, its text stood in the middle of the stream, which ended as complete.

Cause: any response with status 200 to a resumption was taken for the rest of the stream.

Change: the media type must be that of the first response; otherwise the stream ends as broken off.

Evidence: the case with application/json of BrokenResponseTest failed before.

--- a/snipewick/src/main/java/org/snipewick/relay/EndpointResponseHead.java
+++ b/snipewick/src/main/java/org/snipewick/relay/EndpointResponseHead.java
@@ -5,6 +5,7 @@
 import io.activej.http.HttpResponse;
 import java.time.Duration;
 import java.util.Comparator;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.regex.Pattern;
 import org.snipewick.placement.ReportedLoad;
@@ -34,6 +35,7 @@
 
   private static final String CONTENT_ENCODING = "Content-Encoding";
   private static final String CONTENT_LENGTH = "Content-Length";
+  private static final String CONTENT_TYPE = "Content-Type";
   private static final String TRANSFER_ENCODING = "Transfer-Encoding";
 
   EndpointResponseHead {
@@ -49,6 +51,13 @@
     return headers.has(CONTENT_LENGTH) || headers.has(TRANSFER_ENCODING);
   }
 
+  /** Returns the media type of the body in lower case, without parameters; empty if not stated. */
+  Optional<String> mediaType() {
+    return headers
+        .first(CONTENT_TYPE)
+        .map(type -> type.split(";", 2)[0].trim().toLowerCase(Locale.ROOT));
+  }
+
   boolean isSuccess() {
     return status >= FIRST_SUCCESS && status < FIRST_REDIRECTION;
   }
--- a/snipewick/src/main/java/org/snipewick/relay/RelayDispatcher.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayDispatcher.java
@@ -259,7 +259,9 @@
       attempt.exchange().cancel();
       attempt.end(AttemptResult.FAILED, now());
       retry(call, attempt, "endpoint responded with status " + head.status());
-    } else if (call.route().kind() == CallKind.STREAM && head.status() == OK) {
+    } else if (call.route().kind() == CallKind.STREAM
+        && head.status() == OK
+        && StreamForwarder.isSameContent(call, head)) {
       streamForwarder.forward(call, attempt, head, response.takeBodyStream());
     } else if (call.stream().isPresent()) {
       attempt.exchange().cancel();
--- a/snipewick/src/main/java/org/snipewick/relay/RelayStream.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayStream.java
@@ -25,6 +25,7 @@
    */
   private static final int MIN_CHUNKS_FOR_MEAN = 8;
 
+  private final Optional<String> mediaType;
   private final TimerService timer;
   private final Listener listener;
   private final Optional<EventSplitter> eventSplitter;
@@ -35,7 +36,9 @@
   private long firstChunkNanos;
   private long lastChunkNanos;
 
-  RelayStream(boolean resumable, TimerService timer, Listener listener) {
+  RelayStream(
+      boolean resumable, Optional<String> mediaType, TimerService timer, Listener listener) {
+    this.mediaType = requireNonNull(mediaType, "mediaType");
     this.timer = requireNonNull(timer, "timer");
     this.listener = requireNonNull(listener, "listener");
     this.eventSplitter = resumable ? Optional.of(new EventSplitter()) : Optional.empty();
@@ -70,6 +73,11 @@
     source = requireNonNull(body, "body");
   }
 
+  /** Returns the media type of the first endpoint's response; empty if it stated none. */
+  Optional<String> mediaType() {
+    return mediaType;
+  }
+
   /** Returns the identifier of the last event that was forwarded; empty if there is none. */
   Optional<String> lastEventId() {
     return eventSplitter.flatMap(EventSplitter::lastId);
--- a/snipewick/src/main/java/org/snipewick/relay/StreamForwarder.java
+++ b/snipewick/src/main/java/org/snipewick/relay/StreamForwarder.java
@@ -86,6 +86,11 @@
             });
   }
 
+  /** Returns whether a response continues the stream of a call rather than another content. */
+  static boolean isSameContent(RelayCall call, EndpointResponseHead head) {
+    return call.stream().map(stream -> stream.mediaType().equals(head.mediaType())).orElse(true);
+  }
+
   private void begin(
       RelayCall call,
       RelayAttempt attempt,
@@ -97,7 +102,8 @@
       return;
     }
     telemetry.firstEventReceived(call, timer.nanoTime());
-    RelayStream stream = new RelayStream(call.route().isResumable(), timer, listener(call, head));
+    RelayStream stream =
+        new RelayStream(call.route().isResumable(), head.mediaType(), timer, listener(call, head));
     stream.readFrom(body);
     call.setStream(stream);
     call.response().trySet(RelayResponses.streamed(head.status(), head.headers(), stream));
--- a/snipewick/src/test/java/org/snipewick/relay/BrokenResponseTest.java
+++ b/snipewick/src/test/java/org/snipewick/relay/BrokenResponseTest.java
@@ -79,6 +79,7 @@
         "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nerror",
         SIGNED + "Call-Id: other\r\nContent-Length: 5\r\n\r\nerror",
         SIGNED + "Content-Length: 5\r\n\r\nerror",
+        SIGNED + "Content-Type: application/json\r\nContent-Length: 9\r\n\r\n\"error\"\n\n",
         SIGNED + "\r\nerror",
         SIGNED + "\r\n",
         SIGNED,
