Move pools and retry budgets out of the dispatcher

Change: RelayPools holds the queue and the retry budget of each pool; the code is moved, not changed. RelayServer sets peers and counts there.

--- a/snipewick/src/main/java/org/snipewick/relay/RelayDispatcher.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayDispatcher.java
@@ -7,23 +7,15 @@
 import java.time.Duration;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Consumer;
-import java.util.stream.Collectors;
 import org.snipewick.failure.Failure;
 import org.snipewick.failure.FailureType;
-import org.snipewick.identity.EndpointId;
-import org.snipewick.identity.InstanceId;
 import org.snipewick.identity.PoolName;
 import org.snipewick.placement.AttemptResult;
 import org.snipewick.placement.PlacementDecision;
 import org.snipewick.placement.PoolPlacement;
-import org.snipewick.placement.PoolRetryBudget;
-import org.snipewick.placement.QueueOrder;
-import org.snipewick.placement.WaitLimit;
 import org.snipewick.placement.WaitingRequest;
 import org.snipewick.registry.RegisteredEndpoint;
 import org.snipewick.route.CallKind;
@@ -48,17 +40,16 @@
   private final RelayTelemetry telemetry;
   private final StreamForwarder streamForwarder;
   private final ResponseBodies responseBodies = new ResponseBodies();
-  private final Map<PoolName, PoolPlacement> pools = new HashMap<>();
-  private final Map<PoolName, PoolRetryBudget> retryBudgets = new HashMap<>();
+  private final RelayPools pools;
   private final Map<String, RelayCall> waiting = new HashMap<>();
   private final CallQuarantine quarantine;
   private Consumer<RegisteredEndpoint> departureListener = endpoint -> {};
   private boolean isPlacementScheduled;
-  private Set<InstanceId> peers = Set.of();
   private long nextWaitingId;
 
   RelayDispatcher(RelayDependencies dependencies) {
     this.dependencies = requireNonNull(dependencies, "dependencies");
+    this.pools = new RelayPools(dependencies);
     this.endpointRequests = new EndpointRequests(dependencies.headerNames());
     this.telemetry = new RelayTelemetry(dependencies);
     this.quarantine = new CallQuarantine(dependencies.quarantine(), dependencies.timer());
@@ -71,36 +62,15 @@
     return quarantine;
   }
 
-  /** Sets the peers that share the endpoints and the retry budget. */
-  void setPeers(Set<InstanceId> instances) {
-    if (!peers.equals(instances)) {
-      peers = Set.copyOf(instances);
-      retryBudgets.clear();
-      pools.values().forEach(pool -> pool.setInstances(peers.size() + 1));
-    }
-  }
-
-  /** Sets the number of requests that the peers have in flight at each endpoint. */
-  void setPeersInFlight(Map<EndpointId, Integer> requests, int reportingPeers, Duration validity) {
-    boolean isComplete = reportingPeers >= peers.size();
-    long validUntilNanos = now() + validity.toNanos();
-    pools.values().forEach(pool -> pool.setPeersInFlight(requests, isComplete, validUntilNanos));
-  }
-
-  /** Returns the number of requests that this instance has in flight at each endpoint. */
-  Map<EndpointId, Integer> inFlightByEndpoint() {
-    Map<EndpointId, Integer> requests = new HashMap<>();
-    pools.values().forEach(pool -> requests.putAll(pool.inFlightByEndpoint()));
-    return requests;
+  /** Returns the pools, whose endpoints and peers may be set at any time. */
+  RelayPools pools() {
+    return pools;
   }
 
   /** Replaces the list of endpoints of all pools. */
   void updateEndpoints(Collection<RegisteredEndpoint> endpoints) {
-    Map<PoolName, List<RegisteredEndpoint>> byPool =
-        endpoints.stream().collect(Collectors.groupingBy(RegisteredEndpoint::pool));
-    byPool.keySet().forEach(this::pool);
-    pools.forEach((name, pool) -> pool.update(byPool.getOrDefault(name, List.of())));
-    List.copyOf(pools.keySet()).forEach(this::decidePlacement);
+    pools.updateEndpoints(endpoints);
+    pools.names().forEach(this::decidePlacement);
   }
 
   /** Sets the listener to endpoints that announce their departure in a response. */
@@ -108,11 +78,6 @@
     departureListener = requireNonNull(listener, "listener");
   }
 
-  /** Returns whether a listed endpoint accepts requests. */
-  boolean hasAcceptingEndpoint() {
-    return pools.values().stream().anyMatch(PoolPlacement::hasAcceptingEndpoint);
-  }
-
   /**
    * Queues a request, sends it to an endpoint once one has a free slot, and returns the response.
    */
@@ -126,7 +91,7 @@
     }
     call.setPool(pool.get());
     quarantine.begin(call);
-    retryBudget(call.pool()).countRequest(now());
+    pools.retryBudget(call.pool()).countRequest(now());
     Duration timeLeft = Duration.ofNanos(Math.max(0, call.deadlineNanos() - now()));
     call.setDeadlineTimer(dependencies.timer().after(timeLeft, () -> deadlinePassed(call)));
     enqueue(call);
@@ -153,7 +118,8 @@
     String waitingId = Long.toString(nextWaitingId++);
     call.setWaitingId(waitingId);
     waiting.put(waitingId, call);
-    pool(call.pool())
+    pools
+        .placement(call.pool())
         .add(
             new WaitingRequest(
                 waitingId,
@@ -168,7 +134,7 @@
 
   @Override
   public void decidePlacement(PoolName name) {
-    PoolPlacement pool = pool(name);
+    PoolPlacement pool = pools.placement(name);
     for (PlacementDecision decision : pool.decide(now())) {
       RelayCall call = waiting.remove(decision.request().id());
       if (call == null || call.isFinished()) {
@@ -194,13 +160,13 @@
 
   private void decideAllPlacements() {
     isPlacementScheduled = false;
-    List.copyOf(pools.keySet()).forEach(this::decidePlacement);
+    pools.names().forEach(this::decidePlacement);
   }
 
   private void send(RelayCall call, PlacementDecision.Placed placed) {
     RelayAttempt attempt =
         new RelayAttempt(
-            placed.endpoint(), pool(call.pool()), call.request().promptTokens(), now());
+            placed.endpoint(), pools.placement(call.pool()), call.request().promptTokens(), now());
     if (call.team().isPresent() && !dependencies.plans().hasFreshProof()) {
       // The API key was checked before the request waited, and may have been revoked since.
       attempt.end(AttemptResult.CANCELLED, now());
@@ -239,10 +205,14 @@
       departureListener.accept(attempt.endpoint());
     }
     head.requestedPause()
-        .ifPresent(pause -> pool(call.pool()).pause(attempt.endpoint().id(), pause, now()));
+        .ifPresent(
+            pause -> pools.placement(call.pool()).pause(attempt.endpoint().id(), pause, now()));
     head.reportedLoad(dependencies.headerNames())
         .ifPresent(
-            load -> pool(call.pool()).updateReportedLoad(attempt.endpoint().id(), load, now()));
+            load ->
+                pools
+                    .placement(call.pool())
+                    .updateReportedLoad(attempt.endpoint().id(), load, now()));
     Optional<String> error = head.protocolError(call.request().id(), dependencies.headerNames());
     if (error.isPresent()) {
       attempt.exchange().cancel();
@@ -295,7 +265,8 @@
     attempt.end(head.isMisdirected() ? AttemptResult.MISDIRECTED : AttemptResult.REJECTED, now());
     call.markNotRun();
     String detail = "endpoint did not run the request, status " + head.status();
-    if (call.attempts() < call.route().maxAttempts() && retryBudget(call.pool()).trySpend(now())) {
+    if (call.attempts() < call.route().maxAttempts()
+        && pools.retryBudget(call.pool()).trySpend(now())) {
       retry(call, attempt, detail);
     } else {
       Failure refused =
@@ -347,7 +318,7 @@
         && !quarantine.isSuspected(call)
         && call.attempts() < call.route().maxAttempts()
         && now() - call.deadlineNanos() < 0
-        && retryBudget(call.pool()).trySpend(now());
+        && pools.retryBudget(call.pool()).trySpend(now());
   }
 
   @Override
@@ -390,7 +361,7 @@
   public void end(RelayCall call) {
     finish(call);
     waiting.remove(call.waitingId());
-    PoolPlacement pool = pool(call.pool());
+    PoolPlacement pool = pools.placement(call.pool());
     pool.remove(call.waitingId());
     Optional<RelayAttempt> attempt = call.attempt();
     call.endAttempt();
@@ -405,33 +376,6 @@
     call.finish();
   }
 
-  private PoolPlacement pool(PoolName name) {
-    return pools.computeIfAbsent(
-        name,
-        pool -> {
-          PoolPlacement created =
-              PoolPlacement.of(
-                  dependencies.domain(),
-                  QueueOrder.byTierOnTimeFirst(),
-                  WaitLimit.untilTargetLatency(),
-                  dependencies.random());
-          created.setInstances(peers.size() + 1);
-          return created;
-        });
-  }
-
-  private PoolRetryBudget retryBudget(PoolName name) {
-    RelayDependencies.RetryBudgetSettings settings = dependencies.retryBudget();
-    return retryBudgets.computeIfAbsent(
-        name,
-        pool ->
-            PoolRetryBudget.of(
-                settings.retriesPerRequest(),
-                settings.additionalRetries(),
-                peers.size() + 1,
-                settings.window()));
-  }
-
   private long now() {
     return dependencies.timer().nanoTime();
   }
--- a/snipewick/src/main/java/org/snipewick/relay/RelayServer.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayServer.java
@@ -103,7 +103,7 @@
    * @param instances all peers
    */
   public void setPeers(Set<InstanceId> instances) {
-    dispatcher.setPeers(instances);
+    dispatcher.pools().setPeers(instances);
   }
 
   /**
@@ -115,7 +115,7 @@
    */
   public void setPeersInFlight(
       Map<EndpointId, Integer> requests, int reportingPeers, Duration validity) {
-    dispatcher.setPeersInFlight(requests, reportingPeers, validity);
+    dispatcher.pools().setPeersInFlight(requests, reportingPeers, validity);
   }
 
   /**
@@ -124,7 +124,7 @@
    * @return number of requests by endpoint; endpoints without any are left out
    */
   public Map<EndpointId, Integer> inFlightByEndpoint() {
-    return dispatcher.inFlightByEndpoint();
+    return dispatcher.pools().inFlightByEndpoint();
   }
 
   /**
@@ -142,7 +142,7 @@
    * @return whether an endpoint is listed that accepts requests
    */
   public boolean hasAcceptingEndpoint() {
-    return dispatcher.hasAcceptingEndpoint();
+    return dispatcher.pools().hasAcceptingEndpoint();
   }
 
   /** Begins a planned stop: from now on, each connection is closed after its next response. */
