Review: free ports outside the range of outgoing connections, and clean up when ended early

Cause: a front could not bind a port that an outgoing connection had taken meanwhile, once in eight starts of case 1. Change: ports below the system's range; the temporary folder is deleted also when a script is ended.

--- a/review/harness/Case.java
+++ b/review/harness/Case.java
@@ -1,3 +1,4 @@
+import java.io.IOException;
 import java.nio.file.Path;
 
 /** Runs a case and exits with 1 if the rule was broken, 0 if it held and 2 if it could not run. */
@@ -18,8 +19,7 @@
       recorder = new Recorder(Path.of(recordFile));
       recorder.record(hasTrouble ? "with the disruption" : "without the disruption");
       try (Deployment deployment = new Deployment(recorder)) {
-        Thread cleanup = new Thread(() -> deployment.fronts.forEach(Front::kill));
-        Runtime.getRuntime().addShutdownHook(cleanup);
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> closeAtExit(deployment)));
         status = play(deployment);
       }
       recorder.record("exit status " + status);
@@ -33,6 +33,14 @@
     System.exit(status);
   }
 
+  private static void closeAtExit(Deployment deployment) {
+    try {
+      deployment.close();
+    } catch (IOException failure) {
+      System.err.println("could not delete a file: " + failure);
+    }
+  }
+
   /** Writes a line to the record and to the standard output. */
   final void report(String line) {
     recorder.record("result   " + line);
--- a/review/harness/Deployment.java
+++ b/review/harness/Deployment.java
@@ -16,6 +16,7 @@
   final Recorder recorder;
   final List<Front> fronts = new ArrayList<>();
   final List<Replica> replicas = new ArrayList<>();
+  private boolean isClosed;
 
   Deployment(Recorder recorder) throws IOException {
     this.recorder = recorder;
@@ -83,8 +84,13 @@
         .getBytes(StandardCharsets.ISO_8859_1);
   }
 
+  /** Ends all processes and deletes their files; later calls have no effect. */
   @Override
-  public void close() throws IOException {
+  public synchronized void close() throws IOException {
+    if (isClosed) {
+      return;
+    }
+    isClosed = true;
     fronts.forEach(Front::kill);
     for (Replica replica : replicas) {
       replica.close();
--- a/review/harness/Front.java
+++ b/review/harness/Front.java
@@ -6,13 +6,20 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Arrays;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
 /** Process of the project, started with the command of the deploy file. */
 final class Front {
+  private static final int FIRST_PORT = 12_000;
+  private static final int LAST_PORT = 30_000;
+  private static final Set<Integer> USED_PORTS = new HashSet<>();
+
   final String name;
   final int port = freePort();
   private final int readyPort = freePort();
@@ -30,11 +37,17 @@
     this.storePort = storePort;
   }
 
-  static int freePort() {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return socket.getLocalPort();
-    } catch (IOException failure) {
-      throw new IllegalStateException(failure);
+  /** Returns a free port below those that the system gives to outgoing connections. */
+  private static synchronized int freePort() {
+    while (true) {
+      int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT);
+      try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+        if (USED_PORTS.add(socket.getLocalPort())) {
+          return port;
+        }
+      } catch (IOException inUse) {
+        // Another port is tried.
+      }
     }
   }
 
