--- a/review/harness/LargeBodies.java
+++ b/review/harness/LargeBodies.java
@@ -3,12 +3,12 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Callers send bodies of the largest size that the configuration allows. Three of four fronts are
- * killed, and their callers move to the fourth one.
+ * Callers send bodies of the largest size that the configuration allows. Five of six fronts are
+ * killed, and their callers move to the sixth one.
  */
 final class LargeBodies extends Case {
-  private static final int FRONTS = 4;
-  private static final int LARGE_CALLERS_PER_FRONT = 7;
+  private static final int FRONTS = 6;
+  private static final int LARGE_CALLERS_PER_FRONT = 5;
   private static final int SMALL_CALLERS_PER_FRONT = 6;
   private static final int BODY_BYTES = 4_194_304;
   private static final long TIMEOUT_MILLIS = 3000;
@@ -33,10 +33,10 @@
   int play(Deployment deployment) throws Exception {
     String[] zones = {"wien-a", "wien-b", "linz", "graz"};
     for (int index = 0; index < 4; index++) {
-      deployment.replica("i-order" + index, "ordersvc", zones[index], 6, Replica.sound(86));
+      deployment.replica("i-order" + index, "ordersvc", zones[index % 4], 6, Replica.sound(86));
     }
     for (int index = 0; index < FRONTS; index++) {
-      deployment.front("front-" + zones[index] + "-1", zones[index]);
+      deployment.front("front-" + zones[index % 4] + "-" + (1 + index / 4), zones[index % 4]);
     }
     deployment.startAll();
     survivor = deployment.fronts.get(0);
