--- a/review/harness/LargeBodies.java
+++ b/review/harness/LargeBodies.java
@@ -56,14 +56,14 @@
         front.kill();
       }
     }
-    Thread.sleep(3500);
+    Thread.sleep(1000);
     if (hasTrouble) {
       for (Front front : deployment.fronts.subList(1, FRONTS)) {
         recorder.record("restart  " + front.name);
         front.start(false);
       }
     }
-    Thread.sleep(10_000);
+    Thread.sleep(12_500);
     boolean hasEnded = !survivor.isAlive();
     isOver = true;
     Thread.sleep(500);
