Bound the memory of all responses by an account that always gets its bytes back

Cause: the limit of all bodies together was enforced by throwing in a mapping function of a channel. Nothing handles that, so the promise of the body never completed and its bytes stayed counted; from then on every body exceeded the limit. The event loop logs "Fatal error" for each of them.

Ruled out: the kill of all processes in the case (the same without it).

Change: MemoryAccount is asked before bytes are kept. A body that cannot be kept is a failed attempt and no crash of its endpoint.

--- a/snipewick/src/main/java/org/snipewick/platform/FrontProcess.java
+++ b/snipewick/src/main/java/org/snipewick/platform/FrontProcess.java
@@ -27,6 +27,7 @@
 import org.snipewick.fleet.ProofExchange;
 import org.snipewick.fleet.SpendingRecords;
 import org.snipewick.identity.TeamName;
+import org.snipewick.memory.MemoryAccount;
 import org.snipewick.metrics.PrometheusText;
 import org.snipewick.peer.PeerCodec;
 import org.snipewick.peer.PeerNetwork;
@@ -63,6 +64,12 @@
   /** Limit of the HTTP client for the bodies of responses from endpoints and the store. */
   private static final int MAX_BODY_BYTES = 16 * 1024 * 1024;
 
+  /**
+   * Part of the heap, as its divisor, for bodies and events that are kept for callers and
+   * endpoints. A buffer that grows takes up to three times the bytes that it holds.
+   */
+  private static final int HEAP_DIVISOR_FOR_KEPT_BYTES = 5;
+
   /**
    * Maximum time until a response of the store is complete, in addition to the time for which the
    * store may wait for changes. The store responds within a few milliseconds; a dead connection is
@@ -120,6 +127,7 @@
   private final MetricRegistry metrics = new MetricRegistry();
   private final PlanController plans;
   private final QuotaLedger quotas;
+  private final MemoryAccount memory;
   private final Quarantine quarantine;
   private final SystemTimerService peerTimer = SystemTimerService.of("peers-timer");
   private final RelayServer relay;
@@ -141,6 +149,11 @@
         SingleAttemptStore.of(
             StoreClient.of(
                 eventloop, Runnable::run, transport, settings.store(), STORE_TIMEOUT, () -> {}));
+    memory =
+        MemoryAccount.of(
+            Runtime.getRuntime().maxMemory() / HEAP_DIVISOR_FOR_KEPT_BYTES,
+            task -> timer.after(Duration.ZERO, task));
+    metrics.gauge("held_bytes", () -> memory::heldBytes);
     quarantine = Quarantine.of(settings.instance(), store, timer, events, new SplittableRandom());
     metrics.gauge("quarantined_parts", () -> quarantine::size);
     relay = RelayServer.listen(eventloop, settings.callers(), relayDependencies(transport));
@@ -180,6 +193,7 @@
         quotas,
         quarantine,
         transport,
+        memory,
         PlatformHeaders.NAMES,
         new RelayDependencies.RetryBudgetSettings(
             settings.retriesPerRequest(), settings.additionalRetries(), settings.retryWindow()),
--- a/snipewick/src/main/java/org/snipewick/relay/RelayDependencies.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayDependencies.java
@@ -7,6 +7,7 @@
 import java.util.random.RandomGenerator;
 import org.snipewick.event.EventLog;
 import org.snipewick.identity.FailureDomain;
+import org.snipewick.memory.MemoryAccount;
 import org.snipewick.quarantine.Quarantine;
 import org.snipewick.quota.QuotaLedger;
 import org.snipewick.route.PlanController;
@@ -21,6 +22,7 @@
  * @param quotas quotas of teams
  * @param quarantine prompt parts that must not be sent to endpoints
  * @param transport HTTP client for endpoints
+ * @param memory account of the bytes that are kept for callers and endpoints
  * @param headerNames names of the headers that the relay reads or sets
  * @param retryBudget retry budget of each pool
  * @param timer source of time, on the event loop of the relay
@@ -34,6 +36,7 @@
     QuotaLedger quotas,
     Quarantine quarantine,
     HttpTransport transport,
+    MemoryAccount memory,
     HeaderNames headerNames,
     RetryBudgetSettings retryBudget,
     TimerService timer,
@@ -48,6 +51,7 @@
     requireNonNull(quotas, "quotas");
     requireNonNull(quarantine, "quarantine");
     requireNonNull(transport, "transport");
+    requireNonNull(memory, "memory");
     requireNonNull(headerNames, "headerNames");
     requireNonNull(retryBudget, "retryBudget");
     requireNonNull(timer, "timer");
--- a/snipewick/src/main/java/org/snipewick/relay/RelayDispatcher.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayDispatcher.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.snipewick.failure.Failure;
+import org.snipewick.failure.FailureException;
 import org.snipewick.failure.FailureType;
 import org.snipewick.identity.PoolName;
 import org.snipewick.placement.AttemptResult;
@@ -39,7 +40,7 @@
   private final EndpointRequests endpointRequests;
   private final RelayTelemetry telemetry;
   private final StreamForwarder streamForwarder;
-  private final ResponseBodies responseBodies = new ResponseBodies();
+  private final ResponseBodies responseBodies;
   private final RelayPools pools;
   private final Map<String, RelayCall> waiting = new HashMap<>();
   private final CallQuarantine quarantine;
@@ -54,6 +55,7 @@
     this.telemetry = new RelayTelemetry(dependencies);
     this.quarantine = new CallQuarantine(dependencies.quarantine(), dependencies.timer());
     dependencies.quarantine().onQuarantined(this::endQuarantinedCalls);
+    this.responseBodies = new ResponseBodies(dependencies.memory());
     this.streamForwarder = new StreamForwarder(this, telemetry, dependencies.timer());
   }
 
@@ -291,7 +293,10 @@
   public void recordBrokenResponse(RelayCall call, RelayAttempt attempt, Exception thrown) {
     if (!call.isFinished() && attempt.exchange().mayHaveBeenSent()) {
       telemetry.responseBroken(call, attempt, thrown.toString(), now());
-      quarantine.recordBrokenResponse(call, attempt);
+      if (!(thrown instanceof FailureException)) {
+        // Not for a response that this instance has broken off, which is no crash.
+        quarantine.recordBrokenResponse(call, attempt);
+      }
     }
   }
 
--- a/snipewick/src/test/java/org/snipewick/relay/NotRunStatusTest.java
+++ b/snipewick/src/test/java/org/snipewick/relay/NotRunStatusTest.java
@@ -98,7 +98,7 @@
   @MethodSource("notRunStatuses")
   void shouldServeFromOtherEndpointWhenRequestMayRunTwice(int status, String path)
       throws IOException {
-    ScriptedEndpoint sound = ScriptedEndpoint.start(closing(SOUND_STREAM));
+    ScriptedEndpoint sound = ScriptedEndpoint.start(ScriptedEndpoint.closing(SOUND_STREAM));
     relay.setEndpoints(pool(path), failing(status, ""), sound);
     assertThat(exchange(path).startsWith("HTTP/1.1 200"))
         .isEqualTo(isIdempotent(path) || status == 421);
@@ -124,7 +124,8 @@
     relay.setEndpoints(
         pool(path),
         ScriptedEndpoint.start(
-            closing(SOUND_STREAM.replace("Signature", "Not-Run: 1\r\nSignature"))));
+            ScriptedEndpoint.closing(
+                SOUND_STREAM.replace("Signature", "Not-Run: 1\r\nSignature"))));
     assertThat(exchange(path)).startsWith("HTTP/1.1 502").contains("unknown");
   }
 
@@ -138,7 +139,7 @@
 
   private static ScriptedEndpoint failing(int status, String fields) {
     return ScriptedEndpoint.start(
-        closing(
+        ScriptedEndpoint.closing(
             "HTTP/1.1 "
                 + status
                 + " Failed\r\nSignature: s\r\n"
@@ -146,13 +147,6 @@
                 + "Content-Length: 5\r\n\r\nerror"));
   }
 
-  private static ScriptedEndpoint.Script closing(String bytes) {
-    return (request, connection) -> {
-      ScriptedEndpoint.write(connection, bytes);
-      connection.close();
-    };
-  }
-
   private String exchange(String path) throws IOException {
     return relay.exchange(
         "POST "
--- a/snipewick/src/test/java/org/snipewick/relay/RelayFixture.java
+++ b/snipewick/src/test/java/org/snipewick/relay/RelayFixture.java
@@ -18,11 +18,13 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicLong;
 import org.snipewick.event.EventLog;
 import org.snipewick.identity.EndpointId;
 import org.snipewick.identity.FailureDomain;
 import org.snipewick.identity.InstanceId;
 import org.snipewick.identity.PoolName;
+import org.snipewick.memory.MemoryAccount;
 import org.snipewick.quarantine.Quarantine;
 import org.snipewick.quota.QuotaBounds;
 import org.snipewick.quota.QuotaLedger;
@@ -55,13 +57,20 @@
           Set.of("only-"));
 
   private static final FailureDomain DOMAIN = FailureDomain.of("linz");
+
+  /** Room for one and a half of the largest bodies. */
+  static final long MEMORY_BYTES = 12 * 1024 * 1024;
+
   private static final int READ_TIMEOUT_MILLIS = 5_000;
 
   private final Eventloop eventloop = EventloopTimerService.monotonicEventloop();
   private final EventloopTimerService timer = EventloopTimerService.of(eventloop);
   private final PlanController plans =
       PlanController.of(timer, EventLog.none(), Duration.ofMinutes(1));
+  private final MemoryAccount memory =
+      MemoryAccount.of(MEMORY_BYTES, task -> timer.after(Duration.ZERO, task));
   private final Thread thread = new Thread(eventloop, "relay");
+  private final List<RegisteredEndpoint> endpoints = new ArrayList<>();
   private final int port;
   private int startedEndpoints;
   private RelayServer server;
@@ -94,6 +103,7 @@
         QuotaLedger.of(timer, new QuotaBounds(Duration.ofSeconds(8), 0, 0), false),
         quarantine(),
         HttpTransport.of(eventloop, Duration.ofMillis(500), 1_000_000),
+        memory,
         NAMES,
         new RelayDependencies.RetryBudgetSettings(0.2, 50, Duration.ofSeconds(10)),
         timer,
@@ -110,10 +120,16 @@
 
   /** Sets the endpoints of a pool; the relay prefers them in the given order. */
   void setEndpoints(String pool, ScriptedEndpoint... scripted) {
-    List<RegisteredEndpoint> listed = new ArrayList<>();
-    for (int index = 0; index < scripted.length; index++) {
-      listed.add(endpoint(pool, "e" + index, scripted[index].port()));
+    endpoints.clear();
+    addEndpoints(pool, scripted);
+  }
+
+  /** Adds endpoints of a pool to those that were set before. */
+  void addEndpoints(String pool, ScriptedEndpoint... scripted) {
+    for (ScriptedEndpoint added : scripted) {
+      endpoints.add(endpoint(pool, "e" + endpoints.size(), added.port()));
     }
+    List<RegisteredEndpoint> listed = List.copyOf(endpoints);
     runOnEventLoop(() -> registry.replaceAll(listed));
   }
 
@@ -169,6 +185,19 @@
     }
   }
 
+  /** Waits until no bytes are kept for callers and endpoints any more. */
+  void awaitNoKeptBytes() {
+    long endNanos = System.nanoTime() + Duration.ofMillis(READ_TIMEOUT_MILLIS).toNanos();
+    AtomicLong heldBytes = new AtomicLong(1);
+    while (heldBytes.get() > 0) {
+      runOnEventLoop(() -> heldBytes.set(memory.heldBytes()));
+      if (System.nanoTime() - endNanos > 0) {
+        throw new AssertionError("bytes are still kept");
+      }
+      java.util.concurrent.locks.LockSupport.parkNanos(10_000_000);
+    }
+  }
+
   void refuseNewRequests() {
     runOnEventLoop(() -> server.refuseNewRequests());
   }
--- a/snipewick/src/test/java/org/snipewick/relay/ScriptedEndpoint.java
+++ b/snipewick/src/test/java/org/snipewick/relay/ScriptedEndpoint.java
@@ -40,6 +40,14 @@
     }
   }
 
+  /** Returns a script that writes the same response to each request and closes the connection. */
+  static Script closing(String bytes) {
+    return (request, connection) -> {
+      write(connection, bytes);
+      connection.close();
+    };
+  }
+
   int port() {
     return server.getLocalPort();
   }
