Bound incomplete events together, and end the read of a stream that is closed

Cause: an incomplete event was bounded by itself only (1 MiB); 130 of them exceed the heap. The OutOfMemoryError in the splitter loses the read that the body of the response waits for. The deadline did end the call, but closing the body did not complete that read, so its connection stayed open.

Ruled out: a deadline that does not fire; event 209 is logged for these calls.

Change: incomplete events are in the memory account, too; the stream with the largest one is broken off, and resumed elsewhere where that is allowed. A stream that is closed completes the read that waits for it, whatever became of its source, and an error in a read ends the stream at once.

--- a/snipewick/src/main/java/org/snipewick/relay/EventSplitter.java
+++ b/snipewick/src/main/java/org/snipewick/relay/EventSplitter.java
@@ -1,8 +1,14 @@
 package org.snipewick.relay;
 
+import static java.util.Objects.requireNonNull;
+
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import org.snipewick.failure.Failure;
+import org.snipewick.failure.FailureException;
+import org.snipewick.failure.FailureType;
+import org.snipewick.memory.MemoryAccount;
 
 /**
  * Splits a stream of server-sent events: buffers an incomplete event until the rest of it arrives,
@@ -14,14 +20,28 @@
   /** An endpoint whose events never end would otherwise fill the memory of the instance. */
   static final int MAX_EVENT_BYTES = 1024 * 1024;
 
-  private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
+  /** Size of an event from which its buffer is not used again, as a buffer never shrinks. */
+  private static final int MAX_REUSED_BYTES = 8 * 1024;
+
+  private final MemoryAccount.Holder holder;
+  private ByteArrayOutputStream pending = new ByteArrayOutputStream();
   private Optional<String> lastId = Optional.empty();
   private final EventBoundary boundary = new EventBoundary();
 
+  /**
+   * Creates a splitter without pending bytes.
+   *
+   * @param holder holder of the memory account for the bytes of incomplete events
+   */
+  EventSplitter(MemoryAccount.Holder holder) {
+    this.holder = requireNonNull(holder, "holder");
+  }
+
   /**
    * Adds bytes and returns all bytes of the events that are now complete.
    *
-   * @throws IllegalStateException if an event is larger than {@link #MAX_EVENT_BYTES}
+   * @throws FailureException if an event is larger than {@link #MAX_EVENT_BYTES}, or the memory
+   *     account does not permit to keep it
    */
   byte[] feed(byte[] bytes) {
     ByteArrayOutputStream complete = new ByteArrayOutputStream(bytes.length);
@@ -30,15 +50,32 @@
       if (boundary.accept(next)) {
         updateLastId();
         complete.writeBytes(pending.toByteArray());
-        pending.reset();
+        discard();
       }
     }
     if (pending.size() > MAX_EVENT_BYTES) {
-      throw new IllegalStateException("event is larger than " + MAX_EVENT_BYTES + " bytes");
+      throw cannotKeep("event is larger than " + MAX_EVENT_BYTES + " bytes");
+    }
+    if (isInsideEvent() && !holder.tryAdd(pending.size() - holder.bytes())) {
+      throw cannotKeep("event uses most of the memory for bodies and events");
     }
     return complete.toByteArray();
   }
 
+  /** Returns whether the incomplete event lost its memory and is to be discarded. */
+  boolean isEvicted() {
+    return holder.isEvicted();
+  }
+
+  /** Returns why a stream is broken off whose incomplete event has lost its memory. */
+  static FailureException evicted() {
+    return cannotKeep("event used most of the memory for bodies and events");
+  }
+
+  private static FailureException cannotKeep(String reason) {
+    return Failure.unknown(FailureType.ANSWER_INCOMPLETE, reason).toException();
+  }
+
   /** Returns the identifier of the last complete event that had one; empty if none had. */
   Optional<String> lastId() {
     return lastId;
@@ -51,10 +88,25 @@
 
   /** Discards an incomplete event, which another endpoint will send again. */
   void dropPending() {
-    pending.reset();
+    discard();
     boundary.reset();
   }
 
+  /** Discards all bytes; no further ones may follow. */
+  void close() {
+    discard();
+    holder.close();
+  }
+
+  private void discard() {
+    if (pending.size() > MAX_REUSED_BYTES) {
+      pending = new ByteArrayOutputStream();
+    } else {
+      pending.reset();
+    }
+    holder.clear();
+  }
+
   private void updateLastId() {
     pending
         .toString(StandardCharsets.UTF_8)
--- a/snipewick/src/main/java/org/snipewick/relay/RelayDispatcher.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayDispatcher.java
@@ -56,7 +56,8 @@
     this.quarantine = new CallQuarantine(dependencies.quarantine(), dependencies.timer());
     dependencies.quarantine().onQuarantined(this::endQuarantinedCalls);
     this.responseBodies = new ResponseBodies(dependencies.memory());
-    this.streamForwarder = new StreamForwarder(this, telemetry, dependencies.timer());
+    this.streamForwarder =
+        new StreamForwarder(this, telemetry, dependencies.timer(), dependencies.memory());
   }
 
   /** Returns the filter that refuses requests with a part in quarantine. */
--- a/snipewick/src/main/java/org/snipewick/relay/RelayStream.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayStream.java
@@ -11,6 +11,7 @@
 import org.snipewick.failure.Failure;
 import org.snipewick.failure.FailureException;
 import org.snipewick.failure.FailureType;
+import org.snipewick.memory.MemoryAccount;
 import org.snipewick.time.TimerService;
 
 /**
@@ -31,17 +32,25 @@
   private final Optional<EventSplitter> eventSplitter;
   private final EventBoundary boundary = new EventBoundary();
   private ChannelSupplier<ByteBuf> source;
+  private SettablePromise<ByteBuf> read = new SettablePromise<>();
   private boolean isEnded;
   private int chunkCount;
   private long firstChunkNanos;
   private long lastChunkNanos;
 
   RelayStream(
-      boolean resumable, Optional<String> mediaType, TimerService timer, Listener listener) {
+      boolean resumable,
+      Optional<String> mediaType,
+      TimerService timer,
+      MemoryAccount memory,
+      Listener listener) {
     this.mediaType = requireNonNull(mediaType, "mediaType");
     this.timer = requireNonNull(timer, "timer");
     this.listener = requireNonNull(listener, "listener");
-    this.eventSplitter = resumable ? Optional.of(new EventSplitter()) : Optional.empty();
+    this.eventSplitter =
+        resumable
+            ? Optional.of(new EventSplitter(memory.open(this::memoryEvicted)))
+            : Optional.empty();
   }
 
   /** Handles the end of a stream and resumes it if it breaks off. */
@@ -86,10 +95,18 @@
   @Override
   protected Promise<ByteBuf> doGet() {
     SettablePromise<ByteBuf> result = new SettablePromise<>();
+    read = result;
     readUntilForwarded(result);
     return result;
   }
 
+  /** Breaks the endpoint's stream off, unless its incomplete event has been discarded since. */
+  private void memoryEvicted() {
+    if (!isEnded && eventSplitter.map(EventSplitter::isEvicted).orElse(false)) {
+      source.closeEx(EventSplitter.evicted());
+    }
+  }
+
   /**
    * Reads until bytes can be forwarded. Reads that are complete at once are handled in a loop, as
    * nested promises would overflow the stack if an event arrives in many pieces.
@@ -121,6 +138,19 @@
 
   /** Handles one read; returns false if nothing can be forwarded yet. */
   private boolean accept(ByteBuf buffer, Exception thrown, SettablePromise<ByteBuf> result) {
+    try {
+      return handleRead(buffer, thrown, result);
+    } catch (RuntimeException | Error defect) {
+      // Whoever reads this body would otherwise wait until the deadline.
+      fail(new IllegalStateException("read failed: " + defect, defect), result);
+      return true;
+    }
+  }
+
+  private boolean handleRead(ByteBuf buffer, Exception thrown, SettablePromise<ByteBuf> result) {
+    if (result.isComplete()) {
+      return true;
+    }
     if (thrown != null) {
       sourceFailed(thrown, result);
       return true;
@@ -150,9 +180,9 @@
     byte[] complete;
     try {
       complete = splitter.feed(bytes);
-    } catch (IllegalStateException unboundedEvent) {
-      source.closeEx(unboundedEvent);
-      sourceFailed(unboundedEvent, result);
+    } catch (FailureException cannotKeep) {
+      source.closeEx(cannotKeep);
+      sourceFailed(cannotKeep, result);
       return true;
     }
     if (complete.length == 0) {
@@ -168,6 +198,7 @@
       return;
     }
     isEnded = true;
+    eventSplitter.ifPresent(EventSplitter::close);
     listener.onComplete();
     result.set(null);
   }
@@ -205,15 +236,18 @@
                 FailureType.ANSWER_INCOMPLETE, "stream of the endpoint broke off: " + thrown)
             .toException();
     closeEx(failure);
-    result.setException(failure);
+    result.trySetException(failure);
   }
 
   @Override
   protected void onClosed(Exception thrown) {
+    eventSplitter.ifPresent(EventSplitter::close);
     if (!isEnded) {
       isEnded = true;
       source.closeEx(thrown);
       listener.onClosed();
     }
+    // A source whose read has failed with an error never completes it.
+    read.trySetException(thrown);
   }
 }
--- a/snipewick/src/main/java/org/snipewick/relay/StreamForwarder.java
+++ b/snipewick/src/main/java/org/snipewick/relay/StreamForwarder.java
@@ -9,6 +9,7 @@
 import io.activej.promise.SettablePromise;
 import java.util.Optional;
 import org.snipewick.identity.PoolName;
+import org.snipewick.memory.MemoryAccount;
 import org.snipewick.placement.AttemptResult;
 import org.snipewick.time.TimerService;
 
@@ -20,11 +21,14 @@
   private final CallHandler callHandler;
   private final RelayTelemetry telemetry;
   private final TimerService timer;
+  private final MemoryAccount memory;
 
-  StreamForwarder(CallHandler callHandler, RelayTelemetry telemetry, TimerService timer) {
+  StreamForwarder(
+      CallHandler callHandler, RelayTelemetry telemetry, TimerService timer, MemoryAccount memory) {
     this.callHandler = requireNonNull(callHandler, "callHandler");
     this.telemetry = requireNonNull(telemetry, "telemetry");
     this.timer = requireNonNull(timer, "timer");
+    this.memory = requireNonNull(memory, "memory");
   }
 
   /** Handles the outcomes of calls and of their attempts. */
@@ -103,7 +107,8 @@
     }
     telemetry.firstEventReceived(call, timer.nanoTime());
     RelayStream stream =
-        new RelayStream(call.route().isResumable(), head.mediaType(), timer, listener(call, head));
+        new RelayStream(
+            call.route().isResumable(), head.mediaType(), timer, memory, listener(call, head));
     stream.readFrom(body);
     call.setStream(stream);
     call.response().trySet(RelayResponses.streamed(head.status(), head.headers(), stream));
--- a/snipewick/src/test/java/org/snipewick/relay/EventSplitterTest.java
+++ b/snipewick/src/test/java/org/snipewick/relay/EventSplitterTest.java
@@ -2,11 +2,15 @@
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import org.junit.jupiter.api.Test;
+import org.snipewick.failure.FailureException;
+import org.snipewick.memory.MemoryAccount;
 
 class EventSplitterTest {
-  private final EventSplitter splitter = new EventSplitter();
+  private final MemoryAccount memory = MemoryAccount.of(100, Runnable::run);
+  private final EventSplitter splitter = new EventSplitter(memory.open(() -> {}));
 
   @Test
   void shouldHoldBackEventWhenItIsIncomplete() {
@@ -32,6 +36,22 @@
     assertThat(splitter.lastId()).contains("4");
   }
 
+  @Test
+  void shouldKeepOnlyBytesOfIncompleteEventInAccount() {
+    feed("id: 1\ndata: a\n\nid: 2\nda");
+    assertThat(memory.heldBytes()).isEqualTo(8);
+    feed("ta: b\n\n");
+    assertThat(memory.heldBytes()).isZero();
+  }
+
+  @Test
+  void shouldThrowAndKeepNothingWhenAccountIsExhausted() {
+    assertThatThrownBy(() -> feed("x".repeat(101))).isInstanceOf(FailureException.class);
+    splitter.dropPending();
+    assertThat(memory.heldBytes()).isZero();
+    assertThat(feed("id: 1\n\n")).isEqualTo("id: 1\n\n");
+  }
+
   private String feed(String text) {
     return new String(splitter.feed(text.getBytes(UTF_8)), UTF_8);
   }
