Pass on only calls that can end before a planned stop, and answer all others

Cause: the stop looked at the time of arrival only, and ended by closing all connections.

Ruled out: connections closed while a response is being written; the process waits for those.

Change: PlannedStop compares the time that is left with the deadline of a call that may not run twice, and with the longest recent call of the route otherwise. What cannot end is refused at once as not run. After seven eighths of the grace period each open call ends with a response, 502 or 503 as is true, before connections are closed.

Before: no such response existed; the code closed the connections.

--- a/snipewick/src/main/java/org/snipewick/platform/FrontProcess.java
+++ b/snipewick/src/main/java/org/snipewick/platform/FrontProcess.java
@@ -112,8 +112,10 @@
    */
   private static final Duration BALANCER_DETECTION_DELAY = Duration.ofMillis(2500);
 
-  /** Time reserved at the end of the grace period for closing connections and exiting. */
-  private static final Duration STOP_MARGIN = Duration.ofMillis(700);
+  /**
+   * Parts of the grace period, of which the last one is reserved for the responses to open calls.
+   */
+  private static final int GRACE_PARTS = 8;
 
   /** Without the record of earlier spending, quotas count as spent for a whole window. */
   private static final Duration SPENDING_RETRY_DELAY = Duration.ofMillis(500);
@@ -312,19 +314,25 @@
   private void beginStop() {
     isStopping = true;
     events.record(EventType.PROCESS_STOPPING, "");
-    relay.beginStop();
-    long startNanos = timer.nanoTime();
-    timer.every(
-        STOP_POLL_PERIOD, () -> endWhenIdle(Duration.ofNanos(timer.nanoTime() - startNanos)));
+    Duration lastPart = settings.stopGrace().dividedBy(GRACE_PARTS);
+    Duration callsEnd = settings.stopGrace().minus(lastPart);
+    relay.beginStop(callsEnd);
+    timer.after(BALANCER_DETECTION_DELAY, this::endWhenIdle);
+    timer.after(callsEnd, relay::endAllCalls);
+    timer.after(callsEnd.plus(lastPart.dividedBy(2)), this::endStop);
   }
 
-  private void endWhenIdle(Duration elapsed) {
-    boolean isRemovedFromBalancer = elapsed.compareTo(BALANCER_DETECTION_DELAY) >= 0;
-    if (isRemovedFromBalancer) {
-      relay.refuseNewRequests();
+  private void endWhenIdle() {
+    relay.refuseNewRequests();
+    if (relay.isIdle()) {
+      endStop();
+    } else {
+      timer.after(STOP_POLL_PERIOD, this::endWhenIdle);
     }
-    boolean isGraceEnding = elapsed.compareTo(settings.stopGrace().minus(STOP_MARGIN)) >= 0;
-    if (stopped.getCount() > 0 && (isGraceEnding || (isRemovedFromBalancer && relay.isIdle()))) {
+  }
+
+  private void endStop() {
+    if (stopped.getCount() > 0) {
       relay.close();
       events.record(EventType.PROCESS_STOPPED, "");
       stopped.countDown();
--- a/snipewick/src/main/java/org/snipewick/relay/RelayDispatcher.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayDispatcher.java
@@ -7,8 +7,11 @@
 import java.time.Duration;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.snipewick.failure.Failure;
 import org.snipewick.failure.FailureException;
@@ -44,6 +47,11 @@
   private final RelayPools pools;
   private final Map<String, RelayCall> waiting = new HashMap<>();
   private final CallQuarantine quarantine;
+  private final PlannedStop plannedStop;
+
+  /** Calls that have not ended. */
+  private final Set<RelayCall> openCalls = new LinkedHashSet<>();
+
   private Consumer<RegisteredEndpoint> departureListener = endpoint -> {};
   private boolean isPlacementScheduled;
   private long nextWaitingId;
@@ -55,6 +63,7 @@
     this.telemetry = new RelayTelemetry(dependencies);
     this.quarantine = new CallQuarantine(dependencies.quarantine(), dependencies.timer());
     dependencies.quarantine().onQuarantined(this::endQuarantinedCalls);
+    this.plannedStop = new PlannedStop(dependencies.timer());
     this.responseBodies = new ResponseBodies(dependencies.memory());
     this.streamForwarder =
         new StreamForwarder(this, telemetry, dependencies.timer(), dependencies.memory());
@@ -65,6 +74,11 @@
     return quarantine;
   }
 
+  /** Returns the filter that refuses requests which cannot end before a planned stop does. */
+  RelayFilter plannedStop() {
+    return plannedStop;
+  }
+
   /** Returns the pools, whose endpoints and peers may be set at any time. */
   RelayPools pools() {
     return pools;
@@ -93,6 +107,7 @@
               .toException());
     }
     call.setPool(pool.get());
+    openCalls.add(call);
     quarantine.begin(call);
     pools.retryBudget(call.pool()).countRequest(now());
     Duration timeLeft = Duration.ofNanos(Math.max(0, call.deadlineNanos() - now()));
@@ -101,6 +116,22 @@
     return call.response();
   }
 
+  /**
+   * Begins a planned stop: calls that cannot end before it does are no longer passed on, and those
+   * that wait are refused at once.
+   */
+  void beginStop(Duration timeLeft) {
+    plannedStop.begin(timeLeft);
+    List.copyOf(openCalls).stream()
+        .filter(call -> !call.mayHaveRun() && !plannedStop.canEnd(call))
+        .forEach(call -> fail(call, PlannedStop.refusal()));
+  }
+
+  /** Ends all calls: with a response, or by breaking off a response that has begun. */
+  void endAllCalls() {
+    List.copyOf(openCalls).forEach(call -> fail(call, PlannedStop.ending(call.mayHaveRun())));
+  }
+
   /** Cancels a call whose caller has disconnected. */
   void callerDisconnected(RelayCall call) {
     if (call.isFinished()) {
@@ -176,6 +207,11 @@
       fail(call, call.unknownIfMayHaveRun(ApiKeyFilter.planNotProven(dependencies.plans())));
       return;
     }
+    if (!call.mayHaveRun() && !plannedStop.canEnd(call)) {
+      attempt.end(AttemptResult.CANCELLED, now());
+      fail(call, PlannedStop.refusal());
+      return;
+    }
     Optional<Failure> refusal = quarantine.refusal(call);
     if (refusal.isPresent()) {
       attempt.end(AttemptResult.CANCELLED, now());
@@ -342,6 +378,9 @@
       return;
     }
     boolean mayHaveRun = call.mayHaveRun() || call.attempt().isPresent();
+    if (mayHaveRun) {
+      plannedStop.recordEnd(call);
+    }
     fail(
         call,
         mayHaveRun
@@ -354,6 +393,7 @@
   public void succeed(RelayCall call, int status) {
     telemetry.delivered(call, status, now());
     quarantine.recordAnswer(call, status);
+    plannedStop.recordEnd(call);
     call.endAttempt();
     finish(call);
   }
@@ -382,6 +422,7 @@
   }
 
   private void finish(RelayCall call) {
+    openCalls.remove(call);
     quarantine.end(call);
     call.finish();
   }
--- a/snipewick/src/main/java/org/snipewick/relay/RelayServer.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayServer.java
@@ -145,9 +145,21 @@
     return dispatcher.pools().hasAcceptingEndpoint();
   }
 
-  /** Begins a planned stop: from now on, each connection is closed after its next response. */
-  public void beginStop() {
+  /**
+   * Begins a planned stop: from now on, each connection is closed after its next response, and
+   * calls that cannot end before {@link #endAllCalls} are refused.
+   *
+   * @param timeLeft time until {@link #endAllCalls} will be called
+   */
+  public void beginStop(Duration timeLeft) {
     server.withMaxKeepAliveRequests(1);
+    dispatcher.beginStop(timeLeft);
+  }
+
+  /** Ends all calls late in a planned stop, so that each caller gets a response before it ends. */
+  public void endAllCalls() {
+    refuseNewRequests();
+    dispatcher.endAllCalls();
   }
 
   /**
--- a/snipewick/src/main/java/org/snipewick/relay/RelayServlet.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayServlet.java
@@ -22,9 +22,6 @@
   /** Applies until the first routing plan with the operators' limit has been read. */
   private static final int MAX_BODY_BYTES_WITHOUT_PLAN = 16 * 1024 * 1024;
 
-  /** Short, as another instance can accept the request at once. */
-  private static final Duration RETRY_AFTER_WHEN_STOPPING = Duration.ofMillis(50);
-
   /** Time for the previous response to be written, which the event loop does when it runs next. */
   private static final Duration RESPONSE_WRITE_DELAY = Duration.ofMillis(20);
 
@@ -47,10 +44,13 @@
                 new ApiKeyFilter(dependencies.plans(), dependencies.headerNames())
                     .before(
                         dispatcher
-                            .quarantine()
+                            .plannedStop()
                             .before(
-                                new QuotaFilter(dependencies.quotas())
-                                    .before(dispatcher::dispatch))));
+                                dispatcher
+                                    .quarantine()
+                                    .before(
+                                        new QuotaFilter(dependencies.quotas())
+                                            .before(dispatcher::dispatch)))));
   }
 
   /** Refuses all requests from now on. */
@@ -140,10 +140,7 @@
 
   private Promise<HttpResponse> startFilters(RelayCall call) {
     return isRefusing
-        ? Promise.ofException(
-            Failure.notRun(FailureType.STOPPING, "instance is stopping")
-                .withRetryAfter(RETRY_AFTER_WHEN_STOPPING)
-                .toException())
+        ? Promise.ofException(PlannedStop.refusal().toException())
         : filterChain.handle(call);
   }
 
--- a/snipewick/src/test/java/org/snipewick/relay/RelayFixture.java
+++ b/snipewick/src/test/java/org/snipewick/relay/RelayFixture.java
@@ -58,6 +58,9 @@
 
   private static final FailureDomain DOMAIN = FailureDomain.of("linz");
 
+  /** Slots of each endpoint. */
+  static final int SLOTS = 4;
+
   /** Room for one and a half of the largest bodies. */
   static final long MEMORY_BYTES = 12 * 1024 * 1024;
 
@@ -163,7 +166,7 @@
 
   private static RegisteredEndpoint endpoint(String pool, String id, int port) {
     return new RegisteredEndpoint(
-        EndpointId.of(id), 1, PoolName.of(pool), DOMAIN, "127.0.0.1", port, 4, false);
+        EndpointId.of(id), 1, PoolName.of(pool), DOMAIN, "127.0.0.1", port, SLOTS, false);
   }
 
   /** Runs a task that throws on the event loop of the relay. */
@@ -198,6 +201,14 @@
     }
   }
 
+  void beginStop(Duration timeLeft) {
+    runOnEventLoop(() -> server.beginStop(timeLeft));
+  }
+
+  void endAllCalls() {
+    runOnEventLoop(() -> server.endAllCalls());
+  }
+
   void refuseNewRequests() {
     runOnEventLoop(() -> server.refuseNewRequests());
   }
--- a/systemtests/src/test/java/org/snipewick/systemtests/platform/FrontProcessTest.java
+++ b/systemtests/src/test/java/org/snipewick/systemtests/platform/FrontProcessTest.java
@@ -165,6 +165,39 @@
     assertThat(front.process().log()).contains("\"process stopped\"");
   }
 
+  /** Guards against calls that are cut off without a response when the grace period ends. */
+  @Test
+  void shouldAnswerCallBeforeGraceEndsWhenItsEndpointIsStillAtWork() {
+    final CompletableFuture<HttpResponse<String>> slow = send("/open/slow");
+    await(slowRequestStarted);
+    front.process().terminate();
+    final long terminatedAtNanos = System.nanoTime();
+
+    assertThat(slow.join().statusCode()).isEqualTo(502);
+    assertThat(slow.join().body()).contains("\"outcome\":\"unknown\"");
+    Duration elapsed = Duration.ofNanos(System.nanoTime() - terminatedAtNanos);
+    assertThat(elapsed).isBetween(GRACE_PERIOD.multipliedBy(5).dividedBy(6), GRACE_PERIOD);
+    front.process().awaitExit();
+    assertThat(Duration.ofNanos(System.nanoTime() - terminatedAtNanos)).isLessThan(GRACE_PERIOD);
+  }
+
+  /** Guards against calls that are passed on although they cannot end before the process does. */
+  @Test
+  void shouldRefuseCallThatCannotEndWhenTerminated() {
+    final CompletableFuture<HttpResponse<String>> slow = send("/open/slow");
+    await(slowRequestStarted);
+    front.process().terminate();
+    Await.until(WAIT_TIMEOUT, "front reports that it is not ready", () -> !front.isReady());
+
+    HttpResponse<String> late = send("/open/a").join();
+    assertThat(late.statusCode()).isEqualTo(503);
+    assertThat(late.body()).contains("\"outcome\":\"not-run\"");
+    assertThat(late.headers().firstValue("Retry-After")).isPresent();
+    assertThat(requestCount).hasValue(1);
+    slowRequestMayEnd.countDown();
+    assertThat(slow.join().statusCode()).isEqualTo(200);
+  }
+
   @Test
   void shouldKeepServingWhenSettingsAreReloadedRepeatedly() {
     final CompletableFuture<HttpResponse<String>> slow = send("/open/slow");
