End each call with an answer and return its slot whatever one of its steps throws

Cause: an exception in a callback of the event loop left the decision about placement halfway. Its other decisions were dropped with their slots. At the deadline, the end of the call placed the next request before the first one was answered; that threw again, and the answer was lost.

Ruled out: the deadline timer; event 209 is logged for each such call.

Change: steps of a call run guarded; what they throw, errors included, ends that call alone, with event 900 and the counter relay_defects. Ends of calls run all their steps. The answer comes before the placement of others. Slots taken for a call that has ended meanwhile are returned.

--- a/snipewick/src/main/java/org/snipewick/relay/RelayDispatcher.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayDispatcher.java
@@ -108,12 +108,32 @@
     }
     call.setPool(pool.get());
     openCalls.add(call);
+    runGuarded(call, () -> begin(call));
+    return call.response();
+  }
+
+  private void begin(RelayCall call) {
+    Duration timeLeft = Duration.ofNanos(Math.max(0, call.deadlineNanos() - now()));
+    call.setDeadlineTimer(
+        dependencies.timer().after(timeLeft, () -> runGuarded(call, () -> deadlinePassed(call))));
     quarantine.begin(call);
     pools.retryBudget(call.pool()).countRequest(now());
-    Duration timeLeft = Duration.ofNanos(Math.max(0, call.deadlineNanos() - now()));
-    call.setDeadlineTimer(dependencies.timer().after(timeLeft, () -> deadlinePassed(call)));
     enqueue(call);
-    return call.response();
+  }
+
+  @Override
+  public void runGuarded(RelayCall call, Runnable step) {
+    try {
+      step.run();
+    } catch (RuntimeException | Error defect) {
+      Steps.runAll(
+          () -> telemetry.defect(call, defect),
+          () -> {
+            if (!call.isFinished()) {
+              fail(call, Failure.unknown(FailureType.INTERNAL, "unexpected exception"));
+            }
+          });
+    }
   }
 
   /**
@@ -122,14 +142,23 @@
    */
   void beginStop(Duration timeLeft) {
     plannedStop.begin(timeLeft);
-    List.copyOf(openCalls).stream()
-        .filter(call -> !call.mayHaveRun() && !plannedStop.canEnd(call))
-        .forEach(call -> fail(call, PlannedStop.refusal()));
+    forEachOpenCall(
+        call -> {
+          if (!call.mayHaveRun() && !plannedStop.canEnd(call)) {
+            fail(call, PlannedStop.refusal());
+          }
+        });
   }
 
   /** Ends all calls: with a response, or by breaking off a response that has begun. */
   void endAllCalls() {
-    List.copyOf(openCalls).forEach(call -> fail(call, PlannedStop.ending(call.mayHaveRun())));
+    forEachOpenCall(call -> fail(call, PlannedStop.ending(call.mayHaveRun())));
+  }
+
+  private void forEachOpenCall(Consumer<RelayCall> step) {
+    List.copyOf(openCalls).stream()
+        .filter(call -> !call.isFinished())
+        .forEach(call -> runGuarded(call, () -> step.accept(call)));
   }
 
   /** Cancels a call whose caller has disconnected. */
@@ -137,15 +166,16 @@
     if (call.isFinished()) {
       return;
     }
-    telemetry.callerDisconnected(call, now());
-    end(call);
-    call.response()
-        .trySetException(
-            Failure.unknown(FailureType.CALLER_LEFT, "caller closed the connection").toException());
+    Steps.runAll(
+        () -> telemetry.callerDisconnected(call, now()),
+        () -> end(call),
+        () -> call.fail(Failure.unknown(FailureType.CALLER_LEFT, "caller closed the connection")));
   }
 
   private void endQuarantinedCalls() {
-    quarantine.quarantinedCalls().forEach(this::fail);
+    quarantine
+        .quarantinedCalls()
+        .forEach((call, refusal) -> runGuarded(call, () -> fail(call, refusal)));
   }
 
   private void enqueue(RelayCall call) {
@@ -171,13 +201,10 @@
     PoolPlacement pool = pools.placement(name);
     for (PlacementDecision decision : pool.decide(now())) {
       RelayCall call = waiting.remove(decision.request().id());
-      if (call == null || call.isFinished()) {
-        continue;
-      }
-      if (decision instanceof PlacementDecision.Placed placed) {
-        send(call, placed);
-      } else {
-        fail(call, Refusals.toFailure((PlacementDecision.Refused) decision, call.mayHaveRun()));
+      if (call != null && !call.isFinished()) {
+        runGuarded(call, () -> carryOut(call, decision));
+      } else if (decision instanceof PlacementDecision.Placed placed) {
+        attemptAt(placed, pool).end(AttemptResult.CANCELLED, now());
       }
     }
     if (pool.waiting() > 0) {
@@ -185,6 +212,24 @@
     }
   }
 
+  private void carryOut(RelayCall call, PlacementDecision decision) {
+    if (decision instanceof PlacementDecision.Placed placed) {
+      RelayAttempt attempt = attemptAt(placed, pools.placement(call.pool()));
+      try {
+        send(call, placed, attempt);
+      } catch (RuntimeException | Error defect) {
+        attempt.cancel(now());
+        throw defect;
+      }
+    } else {
+      fail(call, Refusals.toFailure((PlacementDecision.Refused) decision, call.mayHaveRun()));
+    }
+  }
+
+  private RelayAttempt attemptAt(PlacementDecision.Placed placed, PoolPlacement pool) {
+    return new RelayAttempt(placed.endpoint(), pool, placed.request().promptTokens(), now());
+  }
+
   private void schedulePlacement() {
     if (!isPlacementScheduled) {
       isPlacementScheduled = true;
@@ -197,10 +242,7 @@
     pools.names().forEach(this::decidePlacement);
   }
 
-  private void send(RelayCall call, PlacementDecision.Placed placed) {
-    RelayAttempt attempt =
-        new RelayAttempt(
-            placed.endpoint(), pools.placement(call.pool()), call.request().promptTokens(), now());
+  private void send(RelayCall call, PlacementDecision.Placed placed, RelayAttempt attempt) {
     if (call.team().isPresent() && !dependencies.plans().hasFreshProof()) {
       // The API key was checked before the request waited, and may have been revoked since.
       attempt.end(AttemptResult.CANCELLED, now());
@@ -224,13 +266,16 @@
         .transport()
         .send(endpointRequests.build(call, placed.endpoint(), now()), attempt.exchange())
         .run(
-            (response, thrown) -> {
-              if (thrown != null) {
-                responseBroken(call, attempt, thrown);
-              } else {
-                headReceived(call, attempt, response);
-              }
-            });
+            (response, thrown) ->
+                runGuarded(
+                    call,
+                    () -> {
+                      if (thrown != null) {
+                        responseBroken(call, attempt, thrown);
+                      } else {
+                        headReceived(call, attempt, response);
+                      }
+                    }));
   }
 
   private void headReceived(RelayCall call, RelayAttempt attempt, HttpResponse response) {
@@ -289,19 +334,28 @@
     responseBodies
         .read(response.takeBodyStream())
         .run(
-            (body, thrown) -> {
-              if (call.isFinished()) {
-                attempt.cancel(now());
-              } else if (thrown != null) {
-                responseBroken(call, attempt, thrown);
-              } else {
-                attempt.endWithResponse(!head.isServerError(), now());
-                succeed(call, head.status());
-                call.response()
-                    .trySet(RelayResponses.buffered(head.status(), head.headers(), body));
-                decidePlacement(call.pool());
-              }
-            });
+            (body, thrown) ->
+                runGuarded(
+                    call,
+                    () -> {
+                      if (call.isFinished()) {
+                        attempt.cancel(now());
+                      } else if (thrown != null) {
+                        responseBroken(call, attempt, thrown);
+                      } else {
+                        deliver(call, attempt, head, body);
+                      }
+                    }));
+  }
+
+  private void deliver(
+      RelayCall call, RelayAttempt attempt, EndpointResponseHead head, byte[] body) {
+    HttpResponse response = RelayResponses.buffered(head.status(), head.headers(), body);
+    Steps.runAll(
+        () -> attempt.endWithResponse(!head.isServerError(), now()),
+        () -> succeed(call, head.status()),
+        () -> call.response().trySet(response),
+        () -> decidePlacement(call.pool()));
   }
 
   private void attemptRejected(RelayCall call, RelayAttempt attempt, EndpointResponseHead head) {
@@ -391,40 +445,43 @@
 
   @Override
   public void succeed(RelayCall call, int status) {
-    telemetry.delivered(call, status, now());
-    quarantine.recordAnswer(call, status);
-    plannedStop.recordEnd(call);
-    call.endAttempt();
-    finish(call);
+    Steps.runAll(
+        () -> telemetry.delivered(call, status, now()),
+        () -> quarantine.recordAnswer(call, status),
+        () -> plannedStop.recordEnd(call),
+        call::endAttempt,
+        () -> finish(call));
   }
 
   /** Responds with a failure, or aborts a response that has already begun. */
   private void fail(RelayCall call, Failure failure) {
-    telemetry.failed(call, failure, now());
-    end(call);
-    call.takeResumption().ifPresent(resumption -> resumption.setException(failure.toException()));
-    call.stream().ifPresent(stream -> stream.closeEx(failure.toException()));
-    call.fail(failure);
+    Steps.runAll(
+        () -> telemetry.failed(call, failure, now()),
+        () -> release(call),
+        () -> call.takeResumption().ifPresent(rest -> rest.setException(failure.toException())),
+        () -> call.stream().ifPresent(stream -> stream.closeEx(failure.toException())),
+        () -> call.fail(failure),
+        () -> decidePlacement(call.pool()));
   }
 
   @Override
   public void end(RelayCall call) {
-    finish(call);
-    waiting.remove(call.waitingId());
-    PoolPlacement pool = pools.placement(call.pool());
-    pool.remove(call.waitingId());
+    Steps.runAll(() -> release(call), () -> decidePlacement(call.pool()));
+  }
+
+  /** Ends a call and returns all that it uses. */
+  private void release(RelayCall call) {
     Optional<RelayAttempt> attempt = call.attempt();
     call.endAttempt();
-    if (attempt.isPresent()) {
-      attempt.get().cancel(now());
-      decidePlacement(call.pool());
-    }
+    Steps.runAll(
+        () -> finish(call),
+        () -> waiting.remove(call.waitingId()),
+        () -> pools.placement(call.pool()).remove(call.waitingId()),
+        () -> attempt.ifPresent(running -> running.cancel(now())));
   }
 
   private void finish(RelayCall call) {
-    openCalls.remove(call);
-    quarantine.end(call);
-    call.finish();
+    Steps.runAll(() -> openCalls.remove(call), () -> quarantine.end(call), call::finish);
   }
 
   private long now() {
--- a/snipewick/src/main/java/org/snipewick/relay/RelayMetrics.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayMetrics.java
@@ -45,6 +45,10 @@
     registry.counter("relay_broken_" + progress.name().toLowerCase(Locale.ROOT)).inc();
   }
 
+  void countDefect() {
+    registry.counter("relay_defects").inc();
+  }
+
   void countCallerDisconnection() {
     registry.counter("relay_callers_left").inc();
   }
--- a/snipewick/src/main/java/org/snipewick/relay/RelayServlet.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayServlet.java
@@ -139,9 +139,16 @@
   }
 
   private Promise<HttpResponse> startFilters(RelayCall call) {
-    return isRefusing
-        ? Promise.ofException(PlannedStop.refusal().toException())
-        : filterChain.handle(call);
+    if (isRefusing) {
+      return Promise.ofException(PlannedStop.refusal().toException());
+    }
+    try {
+      return filterChain.handle(call);
+    } catch (RuntimeException | Error defect) {
+      // Filters throw before the call is queued.
+      return Promise.ofException(
+          Failure.notRun(FailureType.INTERNAL, "unexpected exception: " + defect).toException());
+    }
   }
 
   private HttpResponse problemResponse(String requestId, Failure failure) {
--- a/snipewick/src/main/java/org/snipewick/relay/RelayStream.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayStream.java
@@ -200,7 +200,7 @@
     isEnded = true;
     eventSplitter.ifPresent(EventSplitter::close);
     listener.onComplete();
-    result.set(null);
+    result.trySet(null);
   }
 
   private void sourceFailed(Exception thrown, SettablePromise<ByteBuf> result) {
@@ -242,12 +242,20 @@
   @Override
   protected void onClosed(Exception thrown) {
     eventSplitter.ifPresent(EventSplitter::close);
-    if (!isEnded) {
-      isEnded = true;
-      source.closeEx(thrown);
-      listener.onClosed();
-    }
-    // A source whose read has failed with an error never completes it.
-    read.trySetException(thrown);
+    boolean endsEarly = !isEnded;
+    isEnded = true;
+    Steps.runAll(
+        () -> {
+          if (endsEarly) {
+            source.closeEx(thrown);
+          }
+        },
+        () -> {
+          if (endsEarly) {
+            listener.onClosed();
+          }
+        },
+        // A source whose read has failed with an error never completes it.
+        () -> read.trySetException(thrown));
   }
 }
--- a/snipewick/src/main/java/org/snipewick/relay/RelayTelemetry.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayTelemetry.java
@@ -2,6 +2,7 @@
 
 import static java.util.Objects.requireNonNull;
 
+import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import org.snipewick.event.EventType;
@@ -94,6 +95,18 @@
     record(EventType.REQUEST_FAILED, call, details);
   }
 
+  /** Records that a step of a call threw an exception or error that nothing expects. */
+  void defect(RelayCall call, Throwable defect) {
+    metrics.countDefect();
+    Map<String, Object> details = new LinkedHashMap<>();
+    details.put("route", call.route().name());
+    details.put("attempts", call.attempts());
+    details.put("detail", String.valueOf(defect));
+    details.put(
+        "at", String.valueOf(Arrays.stream(defect.getStackTrace()).findFirst().orElse(null)));
+    record(EventType.INTERNAL_ERROR, call, details);
+  }
+
   /** Records that a request was refused before it was queued. */
   void refused(RelayRequest request, Failure failure, long nowNanos) {
     metrics.countFailure(failure.type());
--- a/snipewick/src/main/java/org/snipewick/relay/StreamForwarder.java
+++ b/snipewick/src/main/java/org/snipewick/relay/StreamForwarder.java
@@ -34,6 +34,9 @@
   /** Handles the outcomes of calls and of their attempts. */
   interface CallHandler {
 
+    /** Runs a step of a call; if it throws, the call ends, but nothing else does. */
+    void runGuarded(RelayCall call, Runnable step);
+
     /** Handles an attempt whose connection ended before the body of its response began. */
     void responseBroken(RelayCall call, RelayAttempt attempt, Exception thrown);
 
@@ -67,27 +70,35 @@
       ChannelSupplier<ByteBuf> body) {
     body.get()
         .run(
-            (first, thrown) -> {
-              if (call.isFinished()) {
-                attempt.cancel(timer.nanoTime());
-              } else if (thrown != null) {
-                callHandler.responseBroken(call, attempt, thrown);
-              } else if (first != null && !first.canRead()) {
-                first.recycle();
-                forward(call, attempt, head, body);
-              } else if (first == null && !head.isDelimited()) {
-                callHandler.responseBroken(
-                    call,
-                    attempt,
-                    new IllegalStateException("stream ended before its first event"));
-              } else {
-                attempt.advance(RelayAttempt.Progress.BODY);
-                attempt.endPrefill();
-                ChannelSupplier<ByteBuf> all =
-                    first == null ? body : ChannelSuppliers.concat(ChannelSupplier.of(first), body);
-                begin(call, attempt, head, all);
-              }
-            });
+            (first, thrown) ->
+                callHandler.runGuarded(
+                    call, () -> firstRead(call, attempt, head, body, first, thrown)));
+  }
+
+  private void firstRead(
+      RelayCall call,
+      RelayAttempt attempt,
+      EndpointResponseHead head,
+      ChannelSupplier<ByteBuf> body,
+      ByteBuf first,
+      Exception thrown) {
+    if (call.isFinished()) {
+      attempt.cancel(timer.nanoTime());
+    } else if (thrown != null) {
+      callHandler.responseBroken(call, attempt, thrown);
+    } else if (first != null && !first.canRead()) {
+      first.recycle();
+      forward(call, attempt, head, body);
+    } else if (first == null && !head.isDelimited()) {
+      callHandler.responseBroken(
+          call, attempt, new IllegalStateException("stream ended before its first event"));
+    } else {
+      attempt.advance(RelayAttempt.Progress.BODY);
+      attempt.endPrefill();
+      ChannelSupplier<ByteBuf> all =
+          first == null ? body : ChannelSuppliers.concat(ChannelSupplier.of(first), body);
+      begin(call, head, all);
+    }
   }
 
   /** Returns whether a response continues the stream of a call rather than another content. */
@@ -95,11 +106,7 @@
     return call.stream().map(stream -> stream.mediaType().equals(head.mediaType())).orElse(true);
   }
 
-  private void begin(
-      RelayCall call,
-      RelayAttempt attempt,
-      EndpointResponseHead head,
-      ChannelSupplier<ByteBuf> body) {
+  private void begin(RelayCall call, EndpointResponseHead head, ChannelSupplier<ByteBuf> body) {
     Optional<SettablePromise<ChannelSupplier<ByteBuf>>> resumption = call.takeResumption();
     if (resumption.isPresent()) {
       resumption.get().set(body);
@@ -118,14 +125,11 @@
     return new RelayStream.Listener() {
       @Override
       public void onComplete() {
-        call.attempt()
-            .ifPresent(
-                attempt -> {
-                  attempt.recordChunkTime(call.stream().flatMap(RelayStream::nanosPerChunk));
-                  attempt.end(AttemptResult.ANSWERED, timer.nanoTime());
-                });
-        callHandler.succeed(call, head.status());
-        callHandler.decidePlacement(call.pool());
+        Optional<RelayAttempt> attempt = call.attempt();
+        Steps.runAll(
+            () -> attempt.ifPresent(answered -> recordAnswered(call, answered)),
+            () -> callHandler.succeed(call, head.status()),
+            () -> callHandler.decidePlacement(call.pool()));
       }
 
       @Override
@@ -142,13 +146,19 @@
       @Override
       public void onClosed() {
         if (!call.isFinished()) {
-          telemetry.streamBroken(call, timer.nanoTime());
-          callHandler.end(call);
+          Steps.runAll(
+              () -> telemetry.streamBroken(call, timer.nanoTime()), () -> callHandler.end(call));
         }
       }
     };
   }
 
+  private void recordAnswered(RelayCall call, RelayAttempt attempt) {
+    Steps.runAll(
+        () -> attempt.recordChunkTime(call.stream().flatMap(RelayStream::nanosPerChunk)),
+        () -> attempt.end(AttemptResult.ANSWERED, timer.nanoTime()));
+  }
+
   private Promise<ChannelSupplier<ByteBuf>> resumeAtAnotherEndpoint(
       RelayCall call, Exception thrown) {
     Optional<RelayAttempt> broken = call.attempt();
--- a/snipewick/src/test/java/org/snipewick/relay/RelayFixture.java
+++ b/snipewick/src/test/java/org/snipewick/relay/RelayFixture.java
@@ -14,7 +14,9 @@
 import java.net.SocketTimeoutException;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
@@ -80,6 +82,10 @@
   private EndpointRegistry registry;
 
   RelayFixture(RoutingPlan plan) {
+    this(plan, EventLog.none());
+  }
+
+  RelayFixture(RoutingPlan plan, EventLog log) {
     try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
       port = free.getLocalPort();
     } catch (IOException failure) {
@@ -92,14 +98,14 @@
         () -> {
           server =
               RelayServer.listen(
-                  eventloop, new InetSocketAddress("127.0.0.1", port), dependencies());
+                  eventloop, new InetSocketAddress("127.0.0.1", port), dependencies(log));
           registry = EndpointRegistry.of(timer, EventLog.none(), server::updateEndpoints);
           server.onDepartureAnnounced(registry::onDepartureAnnounced);
           plans.accept(plan, Moment.now(timer));
         });
   }
 
-  private RelayDependencies dependencies() {
+  private RelayDependencies dependencies(EventLog log) {
     return new RelayDependencies(
         DOMAIN,
         plans,
@@ -110,7 +116,7 @@
         NAMES,
         new RelayDependencies.RetryBudgetSettings(0.2, 50, Duration.ofSeconds(10)),
         timer,
-        EventLog.none(),
+        log,
         new MetricRegistry(),
         new SplittableRandom(1));
   }
@@ -201,6 +207,13 @@
     }
   }
 
+  /** Returns the number of requests in flight at each endpoint that has any. */
+  Map<EndpointId, Integer> inFlight() {
+    Map<EndpointId, Integer> requests = new HashMap<>();
+    runOnEventLoop(() -> requests.putAll(server.inFlightByEndpoint()));
+    return requests;
+  }
+
   void beginStop(Duration timeLeft) {
     runOnEventLoop(() -> server.beginStop(timeLeft));
   }
