Take no entry for an endpoint whose address cannot be connected to

Cause: the codec accepted any IP address; the platform has version 4 only, and the URL of an endpoint is built without brackets.

Ruled out: that such an entry is refused by the registry or the placement; both took it for an endpoint with free slots.

Change: only addresses of single hosts of IP version 4 are accepted, checked where the row is decoded; other rows are skipped and logged as malformed.

Before: six of the seven new rows of OddRowsTest were listed as endpoints.

--- a/snipewick/src/main/java/org/snipewick/platform/EndpointCodec.java
+++ b/snipewick/src/main/java/org/snipewick/platform/EndpointCodec.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
+import java.net.Inet4Address;
 import java.net.InetSocketAddress;
 import org.snipewick.identity.EndpointId;
 import org.snipewick.identity.FailureDomain;
@@ -13,6 +14,9 @@
 final class EndpointCodec {
   private static final ObjectMapper JSON = new ObjectMapper();
 
+  /** First octet from which on addresses are not those of single hosts. */
+  private static final int FIRST_MULTICAST_OCTET = 224;
+
   private EndpointCodec() {}
 
   /**
@@ -26,7 +30,7 @@
    */
   static RegisteredEndpoint decode(TableRow row) throws IOException {
     Fields fields = Fields.of(JSON.readTree(row.value()));
-    InetSocketAddress address = fields.address("address");
+    InetSocketAddress address = addressOf(fields);
     return new RegisteredEndpoint(
         EndpointId.of(row.key()),
         fields.integer("born", 0),
@@ -38,6 +42,22 @@
         isDraining(fields.text("state")));
   }
 
+  /**
+   * Returns an address to which a connection can be opened; the platform has no version 6 of IP.
+   */
+  private static InetSocketAddress addressOf(Fields fields) {
+    InetSocketAddress address = fields.address("address");
+    int firstOctet = Byte.toUnsignedInt(address.getAddress().getAddress()[0]);
+    boolean isHost =
+        address.getAddress() instanceof Inet4Address
+            && firstOctet > 0
+            && firstOctet < FIRST_MULTICAST_OCTET;
+    if (!isHost) {
+      throw new IllegalArgumentException("not the address of a host of IP version 4");
+    }
+    return address;
+  }
+
   private static boolean isDraining(String state) {
     return switch (state) {
       case "ready" -> false;
