Bound the memory of request bodies by the account of all kept bytes

Cause: bodies were read whole and copied twice, and nothing bounded their sum; about 12 of them exhaust the heap.

Ruled out: descriptors and connections; as many callers with small bodies are served.

Change: RequestBodies asks the memory account before it keeps bytes. Large bodies share half of it. One that cannot be kept is read, discarded and answered 503 as not run. One that waits may lose its memory, one that was passed on may not. The loop that reads piece by piece is one for requests, responses and streams.

--- a/snipewick/src/main/java/org/snipewick/memory/MemoryAccount.java
+++ b/snipewick/src/main/java/org/snipewick/memory/MemoryAccount.java
@@ -58,9 +58,21 @@
     return heldBytes;
   }
 
+  /**
+   * Returns the maximum number of bytes that all holders keep together.
+   *
+   * @return limit in bytes
+   */
+  public long limitBytes() {
+    return limitBytes;
+  }
+
   private boolean makeRoom(Holder asking, long bytes) {
     while (heldBytes + bytes > limitBytes) {
-      Optional<Holder> largest = holders.stream().max(Comparator.comparingLong(Holder::bytes));
+      Optional<Holder> largest =
+          holders.stream()
+              .filter(holder -> !holder.isPinned)
+              .max(Comparator.comparingLong(Holder::bytes));
       if (largest.isEmpty() || largest.get().bytes <= asking.bytes + bytes) {
         return false;
       }
@@ -76,6 +88,7 @@
     private long bytes;
     private boolean isEvicted;
     private boolean isClosed;
+    private boolean isPinned;
 
     private Holder(Runnable onEvicted) {
       this.onEvicted = onEvicted;
@@ -98,6 +111,11 @@
       return true;
     }
 
+    /** Records that the bytes are in use, so that the holder does not lose them any more. */
+    public void pin() {
+      isPinned = true;
+    }
+
     /** Records that the bytes so far are no longer kept, but that further ones may follow. */
     public void clear() {
       release();
--- a/snipewick/src/main/java/org/snipewick/relay/Headers.java
+++ b/snipewick/src/main/java/org/snipewick/relay/Headers.java
@@ -125,6 +125,15 @@
         .map(value -> "Transfer-Encoding is not supported, only chunked is");
   }
 
+  /** Returns the size of the body that the fields state; 0 if they state none. */
+  long contentLength() {
+    try {
+      return first(CONTENT_LENGTH).map(value -> Long.parseLong(value.trim())).orElse(0L);
+    } catch (NumberFormatException malformed) {
+      return 0;
+    }
+  }
+
   private static String lower(Map.Entry<String, String> field) {
     return field.getKey().toLowerCase(Locale.ROOT);
   }
--- a/snipewick/src/main/java/org/snipewick/relay/RelayCall.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayCall.java
@@ -22,6 +22,7 @@
 /** State of one request from its arrival to its end; used on one event loop only. */
 final class RelayCall {
   private final RelayRequest request;
+  private final RequestBodies.KeptBody body;
   private final SettablePromise<HttpResponse> response = new SettablePromise<>();
   private final Set<EndpointId> triedEndpoints = new HashSet<>();
   private RoutingPlan plan;
@@ -38,8 +39,9 @@
   private Runnable onFinished = () -> {};
   private boolean isFinished;
 
-  RelayCall(RelayRequest request) {
+  RelayCall(RelayRequest request, RequestBodies.KeptBody body) {
     this.request = requireNonNull(request, "request");
+    this.body = requireNonNull(body, "body");
   }
 
   RelayRequest request() {
@@ -118,6 +120,7 @@
 
   /** Begins an attempt at an endpoint; from now on the request may have run. */
   void beginAttempt(RelayAttempt started) {
+    body.pin();
     attempt = Optional.of(started);
     triedEndpoints.add(started.endpoint().id());
     attempts++;
--- a/snipewick/src/main/java/org/snipewick/relay/RelayDispatcher.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayDispatcher.java
@@ -172,6 +172,13 @@
         () -> call.fail(Failure.unknown(FailureType.CALLER_LEFT, "caller closed the connection")));
   }
 
+  /** Refuses a call whose body has lost its memory while it waited. */
+  void bodyEvicted(RelayCall call) {
+    if (!call.isFinished() && !call.mayHaveRun()) {
+      runGuarded(call, () -> fail(call, RequestBodies.cannotKeep()));
+    }
+  }
+
   private void endQuarantinedCalls() {
     quarantine
         .quarantinedCalls()
--- a/snipewick/src/main/java/org/snipewick/relay/RelayServlet.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayServlet.java
@@ -2,7 +2,6 @@
 
 import static java.util.Objects.requireNonNull;
 
-import io.activej.bytebuf.ByteBuf;
 import io.activej.http.AsyncServlet;
 import io.activej.http.HttpMethod;
 import io.activej.http.HttpRequest;
@@ -29,6 +28,7 @@
   private final RelayDispatcher dispatcher;
   private final CallerConnections connections;
   private final RelayTelemetry telemetry;
+  private final RequestBodies requestBodies;
   private final RelayFilter.Next filterChain;
   private boolean isRefusing;
 
@@ -38,6 +38,7 @@
     this.dispatcher = requireNonNull(dispatcher, "dispatcher");
     this.connections = requireNonNull(connections, "connections");
     this.telemetry = new RelayTelemetry(dependencies);
+    this.requestBodies = new RequestBodies(dependencies.memory());
     this.filterChain =
         new RouteFilter(dependencies.plans())
             .before(
@@ -81,14 +82,21 @@
       connections.closeAfterResponse(received.getConnection());
       return Promise.of(problemResponse("", malformed(error.get())));
     }
-    return received
-        .loadBody(maxBodyBytes())
+    return requestBodies
+        .read(received.takeBodyStream(), headers.contentLength(), maxBodyBytes())
         .then(
             body -> relay(received, headers, body, receivedNanos),
-            thrown -> {
-              connections.closeAfterResponse(received.getConnection());
-              return Promise.of(problemResponse("", malformed("body cannot be read: " + thrown)));
-            });
+            thrown -> Promise.of(bodyNotRead(received, headers, thrown)));
+  }
+
+  private HttpResponse bodyNotRead(HttpRequest received, Headers headers, Exception thrown) {
+    if (thrown instanceof FailureException refused) {
+      String id = headers.first(dependencies.headerNames().requestId()).orElse("");
+      telemetry.bodyRefused(id, refused.failure());
+      return problemResponse(id, refused.failure());
+    }
+    connections.closeAfterResponse(received.getConnection());
+    return problemResponse("", malformed("body cannot be read: " + thrown));
   }
 
   private Optional<String> requestError(HttpRequest received, Headers headers) {
@@ -111,20 +119,25 @@
   }
 
   private Promise<HttpResponse> relay(
-      HttpRequest received, Headers headers, ByteBuf body, long receivedNanos) {
+      HttpRequest received, Headers headers, RequestBodies.KeptBody body, long receivedNanos) {
     RelayRequest request =
         RelayRequest.of(
             received.getMethod(),
             received.getPathAndQuery(),
             received.getPath(),
             headers,
-            body.getArray(),
+            body.bytes(),
             receivedNanos,
             dependencies.headerNames());
-    RelayCall call = new RelayCall(request);
+    RelayCall call = new RelayCall(request, body);
+    body.onEvicted(() -> dispatcher.bodyEvicted(call));
     HttpServerConnection connection = received.getConnection();
     connections.beginRequest(connection, () -> dispatcher.callerDisconnected(call));
-    call.onFinished(() -> connections.endRequest(connection, dependencies.timer().nanoTime()));
+    call.onFinished(
+        () -> {
+          body.close();
+          connections.endRequest(connection, dependencies.timer().nanoTime());
+        });
     return startFilters(call)
         .then(
             Promise::of,
--- a/snipewick/src/main/java/org/snipewick/relay/RelayStream.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayStream.java
@@ -107,26 +107,8 @@
     }
   }
 
-  /**
-   * Reads until bytes can be forwarded. Reads that are complete at once are handled in a loop, as
-   * nested promises would overflow the stack if an event arrives in many pieces.
-   */
   private void readUntilForwarded(SettablePromise<ByteBuf> result) {
-    while (true) {
-      Promise<ByteBuf> next = source.get();
-      if (!next.isComplete()) {
-        next.run(
-            (buffer, thrown) -> {
-              if (!accept(buffer, thrown, result)) {
-                readUntilForwarded(result);
-              }
-            });
-        return;
-      }
-      if (accept(next.getResult(), next.getException(), result)) {
-        return;
-      }
-    }
+    Pieces.read(() -> source.get(), (piece, thrown) -> !accept(piece, thrown, result));
   }
 
   /** Returns the mean time per chunk in nanoseconds; empty if there were too few chunks. */
--- a/snipewick/src/main/java/org/snipewick/relay/RelayTelemetry.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayTelemetry.java
@@ -128,6 +128,25 @@
                 (nowNanos - request.receivedNanos()) / NANOS_PER_MILLI));
   }
 
+  /** Records that a request was refused because its body cannot be kept. */
+  void bodyRefused(String requestId, Failure failure) {
+    metrics.countFailure(failure.type());
+    dependencies
+        .events()
+        .record(
+            EventType.REQUEST_FAILED,
+            requestId,
+            Map.of(
+                "type",
+                failure.type().number(),
+                "outcome",
+                failure.outcome().text(),
+                "detail",
+                failure.detail(),
+                "heldBytes",
+                dependencies.memory().heldBytes()));
+  }
+
   /** Records that a stream ended before its regular end. */
   void streamBroken(RelayCall call, long nowNanos) {
     Map<String, Object> details = commonDetails(call, nowNanos);
--- /dev/null
+++ b/snipewick/src/main/java/org/snipewick/relay/RequestBodies.java
@@ -0,0 +1,191 @@
+package org.snipewick.relay;
+
+import static java.util.Objects.requireNonNull;
+
+import io.activej.bytebuf.ByteBuf;
+import io.activej.csp.ChannelSupplier;
+import io.activej.promise.Promise;
+import io.activej.promise.SettablePromise;
+import java.time.Duration;
+import java.util.Arrays;
+import org.snipewick.failure.Failure;
+import org.snipewick.failure.FailureType;
+import org.snipewick.memory.MemoryAccount;
+
+/**
+ * Buffers the bodies of requests. Answers a load of many large bodies: they share a part of the
+ * memory account, so that requests with small ones are served meanwhile. Used on one event loop
+ * only.
+ */
+final class RequestBodies {
+  /** Size from which a body counts as large. */
+  static final int LARGE_BODY_BYTES = 64 * 1024;
+
+  /** Part of the account, as its divisor, that is open to large bodies. */
+  private static final int ACCOUNT_DIVISOR_FOR_LARGE_BODIES = 2;
+
+  /** Time in which endpoints answer a few requests, so that memory becomes free. */
+  private static final Duration RETRY_AFTER = Duration.ofMillis(500);
+
+  private static final byte[] NO_BYTES = new byte[0];
+
+  private final MemoryAccount memory;
+
+  RequestBodies(MemoryAccount memory) {
+    this.memory = requireNonNull(memory, "memory");
+  }
+
+  /**
+   * Reads a body to its end. One that cannot be kept is discarded as it arrives, as callers read
+   * the response only when they have sent the body.
+   *
+   * @param body body of a request
+   * @param declaredBytes size that the request states; 0 if it states none
+   * @param maxBytes maximum size
+   * @return kept body; fails if it breaks off or is too large, or with a {@link
+   *     org.snipewick.failure.FailureException} if it cannot be kept
+   */
+  Promise<KeptBody> read(ChannelSupplier<ByteBuf> body, long declaredBytes, int maxBytes) {
+    KeptBody kept = new KeptBody(memory);
+    Reception reception = new Reception(kept, maxBytes);
+    if (declaredBytes <= maxBytes) {
+      reception.reserve(declaredBytes);
+    }
+    Pieces.read(body::get, reception::handle);
+    return reception.result;
+  }
+
+  /** Returns the failure of a request whose body cannot be kept. */
+  static Failure cannotKeep() {
+    return Failure.notRun(FailureType.SHED, "no memory for the body of the request")
+        .withRetryAfter(RETRY_AFTER);
+  }
+
+  /** Reception of one body. */
+  private final class Reception {
+    private final KeptBody kept;
+    private final int maxBytes;
+    private final SettablePromise<KeptBody> result = new SettablePromise<>();
+    private long receivedBytes;
+    private boolean isDiscarded;
+
+    Reception(KeptBody kept, int maxBytes) {
+      this.kept = kept;
+      this.maxBytes = maxBytes;
+      kept.onEvicted(this::discard);
+    }
+
+    /** Reserves memory for bytes that have not arrived yet. */
+    void reserve(long bytes) {
+      long missingBytes = bytes - kept.reservedBytes();
+      if (missingBytes > 0 && (isTooLargeNow(bytes) || !kept.tryReserve(missingBytes))) {
+        discard();
+      }
+    }
+
+    private boolean isTooLargeNow(long bytes) {
+      long availableBytes = memory.limitBytes() / ACCOUNT_DIVISOR_FOR_LARGE_BODIES;
+      return bytes > LARGE_BODY_BYTES
+          && memory.heldBytes() + bytes - kept.reservedBytes() > availableBytes;
+    }
+
+    boolean handle(ByteBuf piece, Exception thrown) {
+      if (thrown != null) {
+        kept.close();
+        result.trySetException(thrown);
+      } else if (piece == null) {
+        end();
+      } else {
+        accept(piece.asArray());
+      }
+      return !result.isComplete();
+    }
+
+    private void accept(byte[] bytes) {
+      receivedBytes += bytes.length;
+      if (receivedBytes > maxBytes) {
+        kept.close();
+        result.trySetException(new IllegalStateException("body is larger than " + maxBytes));
+        return;
+      }
+      try {
+        if (!isDiscarded) {
+          reserve(receivedBytes);
+        }
+        if (!isDiscarded) {
+          kept.add(bytes);
+        }
+      } catch (OutOfMemoryError exhausted) {
+        discard();
+      }
+    }
+
+    private void end() {
+      if (isDiscarded) {
+        result.trySetException(cannotKeep().toException());
+      } else {
+        result.trySet(kept);
+      }
+    }
+
+    private void discard() {
+      isDiscarded = true;
+      kept.close();
+    }
+  }
+
+  /** Body of a request, which is kept until its call ends. */
+  static final class KeptBody {
+    private final MemoryAccount.Holder holder;
+    private Runnable onEvicted = () -> {};
+    private byte[] buffer = NO_BYTES;
+    private int size;
+
+    private KeptBody(MemoryAccount memory) {
+      holder = memory.open(() -> onEvicted.run());
+    }
+
+    /** Sets the listener that discards the body when it loses its memory. */
+    void onEvicted(Runnable listener) {
+      onEvicted = requireNonNull(listener, "listener");
+    }
+
+    /** Returns the whole body, which is not copied if its size was declared. */
+    byte[] bytes() {
+      if (buffer.length > size) {
+        buffer = Arrays.copyOf(buffer, size);
+      }
+      return buffer;
+    }
+
+    /** Records that the body is on its way to an endpoint and can no longer lose its memory. */
+    void pin() {
+      holder.pin();
+    }
+
+    /** Returns the memory; later calls have no effect. */
+    void close() {
+      holder.close();
+      buffer = NO_BYTES;
+      size = 0;
+    }
+
+    private long reservedBytes() {
+      return holder.bytes();
+    }
+
+    private boolean tryReserve(long additionalBytes) {
+      return holder.tryAdd(additionalBytes);
+    }
+
+    private void add(byte[] piece) {
+      int needed = size + piece.length;
+      if (needed > buffer.length) {
+        long capacity = Math.max(holder.bytes(), 2L * buffer.length);
+        buffer = Arrays.copyOf(buffer, (int) Math.max(needed, capacity));
+      }
+      System.arraycopy(piece, 0, buffer, size, piece.length);
+      size = needed;
+    }
+  }
+}
--- a/snipewick/src/main/java/org/snipewick/relay/ResponseBodies.java
+++ b/snipewick/src/main/java/org/snipewick/relay/ResponseBodies.java
@@ -35,7 +35,7 @@
    */
   Promise<byte[]> read(ChannelSupplier<ByteBuf> body) {
     Reception reception = new Reception(body);
-    reception.readOn();
+    Pieces.read(body::get, reception::handle);
     return reception.result;
   }
 
@@ -50,25 +50,9 @@
       this.body = requireNonNull(body, "body");
     }
 
-    /** Reads in a loop, as nested promises would overflow the stack if there are many pieces. */
-    void readOn() {
-      while (!result.isComplete()) {
-        Promise<ByteBuf> next = body.get();
-        if (!next.isComplete()) {
-          next.run(
-              (piece, thrown) -> {
-                accept(piece, thrown);
-                readOn();
-              });
-          return;
-        }
-        accept(next.getResult(), next.getException());
-      }
-    }
-
-    private void accept(ByteBuf piece, Exception thrown) {
+    boolean handle(ByteBuf piece, Exception thrown) {
       if (result.isComplete()) {
-        return;
+        return false;
       }
       try {
         if (thrown != null) {
@@ -83,6 +67,7 @@
       } catch (OutOfMemoryError exhausted) {
         cannotKeep("heap is exhausted");
       }
+      return !result.isComplete();
     }
 
     private void keep(byte[] bytes) {
