Place further requests at the end of a call only if it frees a slot

Seen while reading the change: since each end of a call decides about placement, also of calls that were refused while they waited. Under overload that sorts the queue once more for each refusal. Before it was done only when an attempt was running; it is again.

Cause: the answer moved before the placement, and the condition was lost.

--- a/snipewick/src/main/java/org/snipewick/relay/RelayDispatcher.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayDispatcher.java
@@ -462,18 +462,26 @@
 
   /** Responds with a failure, or aborts a response that has already begun. */
   private void fail(RelayCall call, Failure failure) {
+    boolean freesSlot = call.attempt().isPresent();
     Steps.runAll(
         () -> telemetry.failed(call, failure, now()),
         () -> release(call),
         () -> call.takeResumption().ifPresent(rest -> rest.setException(failure.toException())),
         () -> call.stream().ifPresent(stream -> stream.closeEx(failure.toException())),
         () -> call.fail(failure),
-        () -> decidePlacement(call.pool()));
+        () -> decidePlacementIf(freesSlot, call.pool()));
   }
 
   @Override
   public void end(RelayCall call) {
-    Steps.runAll(() -> release(call), () -> decidePlacement(call.pool()));
+    boolean freesSlot = call.attempt().isPresent();
+    Steps.runAll(() -> release(call), () -> decidePlacementIf(freesSlot, call.pool()));
+  }
+
+  private void decidePlacementIf(boolean isSlotFree, PoolName pool) {
+    if (isSlotFree) {
+      decidePlacement(pool);
+    }
   }
 
   /** Ends a call and returns all that it uses. */
