Use the momentary work time that endpoints report when choosing one

Cause: a load report counted as malformed unless it had exactly three values. Endpoints that add how long work takes at this moment had every report dropped, so that placement ran on counts of requests alone and did not see spells in which an endpoint takes 2.5 times as long. Change: three or four values are read, further ones are ignored, and a malformed fourth one is dropped alone. It is taken out of service times, so that the learned speed of an endpoint stays its usual one. Endpoints that report three values are chosen as before.

--- a/snipewick/src/main/java/org/snipewick/placement/EndpointLoad.java
+++ b/snipewick/src/main/java/org/snipewick/placement/EndpointLoad.java
@@ -35,6 +35,8 @@
   /** Weight of the newest sample in the moving average; about the last ten answers count. */
   private static final double SERVICE_TIME_WEIGHT = 0.1;
 
+  private final MomentarySlowness momentarySlowness = new MomentarySlowness();
+
   private RegisteredEndpoint endpoint;
   private int slots;
   private int inFlight;
@@ -73,6 +75,7 @@
       isPaused = false;
       hasRequestedPause = false;
       meanNanosPerUnit = 0;
+      momentarySlowness.reset();
     }
     endpoint = listed;
     slots = listed.slots();
@@ -113,12 +116,21 @@
     hasPeerInFlight = true;
   }
 
-  /** Adds the time that each unit of an answer took, in nanoseconds, to the moving average. */
-  void addServiceTime(double nanosPerUnit) {
+  /**
+   * Adds the time that each unit of an answer took, in nanoseconds, to the moving average. What is
+   * known of the momentary speed of the endpoint is left out, so that the average is the usual one.
+   */
+  void addServiceTime(double nanosPerUnit, long nowNanos) {
+    double usualNanos = nanosPerUnit / momentarySlowness.at(nowNanos);
     meanNanosPerUnit =
         meanNanosPerUnit == 0
-            ? nanosPerUnit
-            : meanNanosPerUnit + SERVICE_TIME_WEIGHT * (nanosPerUnit - meanNanosPerUnit);
+            ? usualNanos
+            : meanNanosPerUnit + SERVICE_TIME_WEIGHT * (usualNanos - meanNanosPerUnit);
+  }
+
+  /** Returns by what factor work takes longer now than usually at this endpoint. */
+  double momentarySlowness(long nowNanos) {
+    return momentarySlowness.at(nowNanos);
   }
 
   /** Returns the mean time of a unit of an answer in nanoseconds; empty before the first answer. */
@@ -183,6 +195,7 @@
     peerInFlightFromEndpoint = Math.max(0, load.running() + load.queued() - inFlight);
     reportedAtNanos = nowNanos;
     hasReport = true;
+    momentarySlowness.update(load.workTimePercent(), nowNanos);
   }
 
   /**
--- a/snipewick/src/main/java/org/snipewick/placement/PoolPlacement.java
+++ b/snipewick/src/main/java/org/snipewick/placement/PoolPlacement.java
@@ -220,7 +220,10 @@
     double slowness = load.meanNanosPerUnit().orElse(meanNanosPerUnit) / meanNanosPerUnit;
     double occupancy = (load.estimatedInFlight(nowNanos) + 1.0) / load.slots();
     double prefill = load.prefillTokens() / PREFILL_TOKENS_PER_FULL_LOAD;
-    return slowness * (occupancy + prefill) * (isRemote(load) ? REMOTE_COST_FACTOR : 1);
+    return slowness
+        * load.momentarySlowness(nowNanos)
+        * (occupancy + prefill)
+        * (isRemote(load) ? REMOTE_COST_FACTOR : 1);
   }
 
   /** Returns the mean over all endpoints; 1 before the first answer, when it cancels out. */
@@ -327,11 +330,12 @@
    *
    * @param endpoint endpoint that answered
    * @param nanosPerUnit nanoseconds per event of a stream, or for a whole answer
+   * @param nowNanos current monotonic time, in nanoseconds
    */
-  public void recordServiceTime(EndpointId endpoint, double nanosPerUnit) {
+  public void recordServiceTime(EndpointId endpoint, double nanosPerUnit, long nowNanos) {
     EndpointLoad load = endpoints.get(endpoint);
     if (load != null) {
-      load.addServiceTime(nanosPerUnit);
+      load.addServiceTime(nanosPerUnit, nowNanos);
     }
   }
 
--- a/snipewick/src/main/java/org/snipewick/relay/EndpointResponseHead.java
+++ b/snipewick/src/main/java/org/snipewick/relay/EndpointResponseHead.java
@@ -32,8 +32,11 @@
   /** Bounds how long a single response can exclude an endpoint. */
   private static final Duration MAX_RETRY_AFTER = Duration.ofMinutes(1);
 
-  /** Number of comma-separated values in the load header. */
-  private static final int LOAD_VALUES = 3;
+  /**
+   * Position of the time that work takes in the load header, after the numbers of running requests,
+   * queued requests and slots. Only some endpoints report it.
+   */
+  private static final int WORK_TIME_INDEX = 3;
 
   private static final String CONTENT_ENCODING = "Content-Encoding";
   private static final String CONTENT_LENGTH = "Content-Length";
@@ -143,24 +146,37 @@
         : Optional.empty();
   }
 
-  /** Returns the load that the endpoint reports; empty if it is missing or malformed. */
+  /**
+   * Returns the load that the endpoint reports; empty if it is missing or malformed. A malformed
+   * work time and further values are ignored.
+   */
   Optional<ReportedLoad> reportedLoad(HeaderNames headerNames) {
     return headers.first(headerNames.load()).flatMap(EndpointResponseHead::parseLoad);
   }
 
   private static Optional<ReportedLoad> parseLoad(String text) {
     String[] values = text.split(",");
-    if (values.length != LOAD_VALUES) {
+    if (values.length < WORK_TIME_INDEX) {
       return Optional.empty();
     }
     try {
-      return Optional.of(
-          new ReportedLoad(
+      ReportedLoad load =
+          ReportedLoad.of(
               Integer.parseInt(values[0].trim()),
               Integer.parseInt(values[1].trim()),
-              Integer.parseInt(values[2].trim())));
+              Integer.parseInt(values[2].trim()));
+      return Optional.of(
+          values.length > WORK_TIME_INDEX ? addWorkTime(load, values[WORK_TIME_INDEX]) : load);
     } catch (IllegalArgumentException malformed) {
       return Optional.empty();
     }
   }
+
+  private static ReportedLoad addWorkTime(ReportedLoad load, String percent) {
+    try {
+      return load.withWorkTime(Integer.parseInt(percent.trim()));
+    } catch (IllegalArgumentException malformed) {
+      return load;
+    }
+  }
 }
--- a/snipewick/src/main/java/org/snipewick/relay/HeaderNames.java
+++ b/snipewick/src/main/java/org/snipewick/relay/HeaderNames.java
@@ -19,8 +19,8 @@
  * @param promptParts parts of the prompt in order, as comma-separated pairs of identifier and
  *     number of tokens
  * @param signature signature of the endpoint, which each successful response must have
- * @param load numbers of running requests, queued requests and slots of the endpoint, separated by
- *     commas
+ * @param load numbers of running requests, queued requests and slots of the endpoint, and for some
+ *     endpoints how long work takes now in percent of the usual time, separated by commas
  * @param notRun present in the response of an endpoint that did not run the request
  * @param leaving present in all responses of an endpoint that is leaving
  * @param requestLimit requests per second that the endpoint takes from all instances together, a
--- a/snipewick/src/main/java/org/snipewick/relay/RelayAttempt.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayAttempt.java
@@ -82,7 +82,7 @@
    */
   void endWithResponse(boolean isSuccess, long nowNanos) {
     if (isSuccess) {
-      placement.recordServiceTime(endpoint.id(), nowNanos - placedNanos);
+      placement.recordServiceTime(endpoint.id(), nowNanos - placedNanos, nowNanos);
     }
     end(isSuccess ? AttemptResult.ANSWERED : AttemptResult.FAILED, nowNanos);
   }
@@ -90,8 +90,8 @@
   /**
    * Records the mean time per chunk of a stream, if known, as a measure of the endpoint's speed.
    */
-  void recordChunkTime(Optional<Double> nanosPerChunk) {
-    nanosPerChunk.ifPresent(nanos -> placement.recordServiceTime(endpoint.id(), nanos));
+  void recordChunkTime(Optional<Double> nanosPerChunk, long nowNanos) {
+    nanosPerChunk.ifPresent(nanos -> placement.recordServiceTime(endpoint.id(), nanos, nowNanos));
   }
 
   /** Closes the connection, which makes the endpoint cancel the request, and frees the slot. */
--- a/snipewick/src/main/java/org/snipewick/relay/StreamForwarder.java
+++ b/snipewick/src/main/java/org/snipewick/relay/StreamForwarder.java
@@ -154,9 +154,10 @@
   }
 
   private void recordAnswered(RelayCall call, RelayAttempt attempt) {
+    long now = timer.nanoTime();
     Steps.runAll(
-        () -> attempt.recordChunkTime(call.stream().flatMap(RelayStream::nanosPerChunk)),
-        () -> attempt.end(AttemptResult.ANSWERED, timer.nanoTime()));
+        () -> attempt.recordChunkTime(call.stream().flatMap(RelayStream::nanosPerChunk), now),
+        () -> attempt.end(AttemptResult.ANSWERED, now));
   }
 
   private Promise<ChannelSupplier<ByteBuf>> resumeAtAnotherEndpoint(
--- a/snipewick/src/test/java/org/snipewick/placement/PoolPlacementTest.java
+++ b/snipewick/src/test/java/org/snipewick/placement/PoolPlacementTest.java
@@ -56,7 +56,7 @@
   void shouldUseLoadReportedByEndpointWhenPeerIsSilent() {
     pool.update(List.of(endpoint("a", LOCAL, 4)));
     pool.setPeersInFlight(Map.of(), false, nowNanos + SECOND_NANOS);
-    pool.updateReportedLoad(EndpointId.of("a"), new ReportedLoad(3, 0, 4), nowNanos);
+    pool.updateReportedLoad(EndpointId.of("a"), ReportedLoad.of(3, 0, 4), nowNanos);
     assertThat(place(3)).containsExactly("a");
   }
 
@@ -65,19 +65,47 @@
     pool.update(List.of(endpoint("a", LOCAL, 4)));
     pool.setPeersInFlight(Map.of(), true, nowNanos + SECOND_NANOS);
     nowNanos += 2 * SECOND_NANOS;
-    pool.updateReportedLoad(EndpointId.of("a"), new ReportedLoad(3, 0, 4), nowNanos);
+    pool.updateReportedLoad(EndpointId.of("a"), ReportedLoad.of(3, 0, 4), nowNanos);
     assertThat(place(3)).containsExactly("a");
   }
 
   @Test
   void shouldSendMoreToFasterEndpointWhenServiceTimesAreKnown() {
     pool.update(List.of(endpoint("fast", LOCAL, 20), endpoint("slow", LOCAL, 20)));
-    pool.recordServiceTime(EndpointId.of("fast"), 10);
-    pool.recordServiceTime(EndpointId.of("slow"), 50);
+    pool.recordServiceTime(EndpointId.of("fast"), 10, nowNanos);
+    pool.recordServiceTime(EndpointId.of("slow"), 50, nowNanos);
     List<String> placed = place(12);
     assertThat(placed.stream().filter("fast"::equals).count()).isBetween(9L, 11L);
   }
 
+  @Test
+  void shouldAvoidEndpointInSlowSpellWhenItReportsWorkTime() {
+    pool.update(List.of(endpoint("a", LOCAL, 20), endpoint("b", LOCAL, 20)));
+    pool.updateReportedLoad(
+        EndpointId.of("a"), ReportedLoad.of(0, 0, 20).withWorkTime(250), nowNanos);
+    assertThat(place(10).stream().filter("b"::equals).count()).isBetween(6L, 8L);
+  }
+
+  @Test
+  void shouldUseEndpointAgainWhenReportOfSlowSpellIsOld() {
+    pool.update(List.of(endpoint("a", LOCAL, 20), endpoint("b", LOCAL, 20)));
+    pool.updateReportedLoad(
+        EndpointId.of("a"), ReportedLoad.of(0, 0, 20).withWorkTime(250), nowNanos);
+    nowNanos += 3 * SECOND_NANOS;
+    assertThat(place(10).stream().filter("b"::equals).count()).isEqualTo(5);
+  }
+
+  @Test
+  void shouldNotLearnThatEndpointIsSlowWhenItOnlyHadSlowSpell() {
+    pool.update(List.of(endpoint("a", LOCAL, 20), endpoint("b", LOCAL, 20)));
+    pool.updateReportedLoad(
+        EndpointId.of("a"), ReportedLoad.of(0, 0, 20).withWorkTime(250), nowNanos);
+    pool.recordServiceTime(EndpointId.of("a"), 250, nowNanos);
+    pool.recordServiceTime(EndpointId.of("b"), 100, nowNanos);
+    nowNanos += 3 * SECOND_NANOS;
+    assertThat(place(10).stream().filter("b"::equals).count()).isEqualTo(5);
+  }
+
   @Test
   void shouldServeHigherTiersFirstWhenSlotBecomesFree() {
     pool.update(List.of(endpoint("a", LOCAL, 1)));
