Separate who places a request from the dispatcher

The dispatcher decided placements itself, so that no other instance could decide for it. An interface RequestPlacer now takes a request and passes the decision to a listener, with a grant by which the end, the service time and the reported load return to whoever placed it. LocalPlacer is the behavior as before; the choice of an endpoint is a class of its own. Counts of requests that a peer has placed are kept beside those of the instance itself, for the brokers that follow.

--- a/snipewick/src/main/java/org/snipewick/placement/EndpointLoad.java
+++ b/snipewick/src/main/java/org/snipewick/placement/EndpointLoad.java
@@ -40,6 +40,7 @@
   private RegisteredEndpoint endpoint;
   private int slots;
   private int inFlight;
+  private int placedByPeers;
   private long prefillTokens;
   private int peerInFlightFromEndpoint;
   private int peerInFlight;
@@ -81,11 +82,26 @@
     slots = listed.slots();
   }
 
-  /** Returns the number of requests that this instance has in flight at the endpoint. */
+  /** Returns the number of requests in flight at the endpoint that this instance has placed. */
   int inFlight() {
     return inFlight;
   }
 
+  /** Returns the requests of this instance in flight, whether it or a peer has placed them. */
+  int ownInFlight() {
+    return inFlight + placedByPeers;
+  }
+
+  /** Counts a request of this instance that a peer has placed and reports. */
+  void beginPlacedByPeer() {
+    placedByPeers++;
+  }
+
+  /** Removes a request of this instance that a peer has placed. */
+  void endPlacedByPeer() {
+    placedByPeers = Math.max(0, placedByPeers - 1);
+  }
+
   /**
    * Returns the estimated number of requests in flight at the endpoint, those of this instance and
    * of its peers. While peers are silent and the endpoint's own report is valid, the peers' part is
@@ -93,7 +109,8 @@
    */
   int estimatedInFlight(long nowNanos) {
     boolean isPeerInFlightValid = hasPeerInFlight && nowNanos - peerInFlightUntilNanos < 0;
-    int reportedByPeers = isPeerInFlightValid ? peerInFlight : 0;
+    // What peers have placed for this instance is part of their reports, unless these are older.
+    int reportedByPeers = Math.max(placedByPeers, isPeerInFlightValid ? peerInFlight : 0);
     boolean isReportValid = hasReport && nowNanos - reportedAtNanos < REPORT_VALIDITY_NANOS;
     boolean isComplete = isPeerInFlightValid && isPeerInFlightComplete;
     return inFlight
@@ -199,12 +216,15 @@
   }
 
   /**
-   * Counts the end of a request, and pauses the endpoint after a rejection or consecutive failures.
-   * The number of requests in flight does not fall below 0 if the request was sent before the
-   * endpoint was removed and listed again.
+   * Counts the end of a request. The number of requests in flight does not fall below 0 if the
+   * request was sent before the endpoint was removed and listed again.
    */
-  void end(AttemptResult result, long nowNanos) {
+  void end() {
     inFlight = Math.max(0, inFlight - 1);
+  }
+
+  /** Pauses the endpoint after a rejection or consecutive failures; an answer ends the pause. */
+  void recordResult(AttemptResult result, long nowNanos) {
     switch (result) {
       case ANSWERED -> {
         consecutiveFailures = 0;
--- a/snipewick/src/main/java/org/snipewick/placement/PoolPlacement.java
+++ b/snipewick/src/main/java/org/snipewick/placement/PoolPlacement.java
@@ -5,7 +5,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
@@ -14,7 +13,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
-import java.util.stream.Stream;
 import org.snipewick.identity.EndpointId;
 import org.snipewick.identity.FailureDomain;
 import org.snipewick.identity.Tier;
@@ -26,19 +24,9 @@
  * when it has a free slot. Not thread-safe.
  */
 public final class PoolPlacement {
-  /** Prompt tokens in prefill that delay an endpoint as much as all of its slots in use. */
-  private static final double PREFILL_TOKENS_PER_FULL_LOAD = 20_000;
-
-  /**
-   * Endpoints in other failure domains are chosen only if the local ones are about a third more
-   * loaded.
-   */
-  private static final double REMOTE_COST_FACTOR = 1.3;
-
-  private final FailureDomain domain;
   private final QueueOrder order;
   private final WaitLimit waitLimit;
-  private final CandidateSample sample;
+  private final EndpointChoice choice;
   private final Map<EndpointId, EndpointLoad> endpoints = new HashMap<>();
   private final List<WaitingRequest> waiting = new ArrayList<>();
   private final ResidenceTime residenceTime = new ResidenceTime();
@@ -46,10 +34,9 @@
 
   private PoolPlacement(
       FailureDomain domain, QueueOrder order, WaitLimit waitLimit, RandomGenerator random) {
-    this.domain = requireNonNull(domain, "domain");
     this.order = requireNonNull(order, "order");
     this.waitLimit = requireNonNull(waitLimit, "waitLimit");
-    this.sample = new CandidateSample(random);
+    this.choice = new EndpointChoice(domain, random);
   }
 
   /**
@@ -72,7 +59,7 @@
    * @param count number of instances, this one included
    */
   public void setInstances(int count) {
-    sample.setInstances(count);
+    choice.setInstances(count);
   }
 
   /**
@@ -103,6 +90,81 @@
     waiting.add(requireNonNull(request, "request"));
   }
 
+  /**
+   * Returns the permission that belongs to a decision of this queue.
+   *
+   * @param placed decision
+   * @param nowNanos time of the decision, in monotonic nanoseconds
+   * @return grant, to be ended exactly once for each decision
+   */
+  public PlacementGrant grant(PlacementDecision.Placed placed, long nowNanos) {
+    return new LocalGrant(this, placed.endpoint().id(), placed.request().promptTokens(), nowNanos);
+  }
+
+  /**
+   * Returns the listed entry of an endpoint to which a request may be sent.
+   *
+   * @param endpoint name of the endpoint
+   * @param request request
+   * @return entry; empty if the endpoint is not listed, is leaving or has been tried
+   */
+  public Optional<RegisteredEndpoint> findAccepting(EndpointId endpoint, WaitingRequest request) {
+    return Optional.ofNullable(endpoints.get(endpoint))
+        .filter(load -> EndpointChoice.maySendTo(load, request))
+        .map(EndpointLoad::endpoint)
+        .filter(listed -> !listed.isLeaving());
+  }
+
+  /**
+   * Counts a request of this instance that a peer has placed and reports as in flight.
+   *
+   * @param endpoint endpoint at which it was placed
+   */
+  public void beginPlacedByPeer(EndpointId endpoint) {
+    EndpointLoad load = endpoints.get(endpoint);
+    if (load != null) {
+      load.beginPlacedByPeer();
+    }
+  }
+
+  /**
+   * Counts a request that a peer has placed as in flight from this instance, because the peer may
+   * no longer report it.
+   *
+   * @param endpoint endpoint at which it was placed
+   * @param promptTokens tokens of its prompt, 0 if its prefill has ended
+   * @param placedNanos monotonic time at which it was placed, in nanoseconds
+   * @return grant, which replaces that of the peer
+   */
+  public PlacementGrant adoptFromPeer(EndpointId endpoint, long promptTokens, long placedNanos) {
+    EndpointLoad load = endpoints.get(endpoint);
+    if (load != null) {
+      load.endPlacedByPeer();
+      load.begin(promptTokens);
+    }
+    return new LocalGrant(this, endpoint, promptTokens, placedNanos);
+  }
+
+  /**
+   * Records that a request of this instance that a peer has placed is no longer in flight.
+   *
+   * @param endpoint endpoint at which it was placed
+   * @param result how the request ended
+   * @param placedNanos monotonic time at which it was placed, in nanoseconds
+   * @param nowNanos current monotonic time, in nanoseconds
+   */
+  public void endPlacedByPeer(
+      EndpointId endpoint, AttemptResult result, long placedNanos, long nowNanos) {
+    if (result == AttemptResult.ANSWERED) {
+      residenceTime.add(nowNanos - placedNanos);
+    }
+    EndpointLoad load = endpoints.get(endpoint);
+    if (load != null) {
+      load.endPlacedByPeer();
+      load.recordResult(result, nowNanos);
+    }
+  }
+
   /**
    * Removes a request whose caller disconnected or whose deadline passed.
    *
@@ -155,7 +217,7 @@
               ReturnSchedule.atLeastMinimum(Duration.ofNanos(pauseNanos))));
     }
     if (requestsAhead == 0) {
-      Optional<EndpointLoad> free = chooseEndpoint(request, nowNanos);
+      Optional<EndpointLoad> free = choice.choose(endpoints.values(), request, nowNanos);
       if (free.isPresent()) {
         return Optional.of(placed(request, free.get(), nowNanos));
       }
@@ -174,70 +236,18 @@
 
   private boolean hasCandidate(WaitingRequest request) {
     return endpoints.values().stream()
-        .anyMatch(load -> !load.endpoint().isLeaving() && maySendTo(load, request));
+        .anyMatch(load -> !load.endpoint().isLeaving() && EndpointChoice.maySendTo(load, request));
   }
 
   /** Returns the time until an endpoint that may run the request has not asked for a pause. */
   private long shortestRequestedPauseNanos(WaitingRequest request, long nowNanos) {
     return endpoints.values().stream()
-        .filter(load -> !load.endpoint().isLeaving() && maySendTo(load, request))
+        .filter(load -> !load.endpoint().isLeaving() && EndpointChoice.maySendTo(load, request))
         .mapToLong(load -> load.requestedPauseNanos(nowNanos))
         .min()
         .orElse(0);
   }
 
-  private static boolean maySendTo(EndpointLoad load, WaitingRequest request) {
-    return !request.triedEndpoints().contains(load.endpoint().id());
-  }
-
-  /**
-   * Chooses the available endpoint with a free slot and the lowest cost, then the lowest name,
-   * among a sample of the local ones and a sample of the remote ones.
-   */
-  private Optional<EndpointLoad> chooseEndpoint(WaitingRequest request, long nowNanos) {
-    List<EndpointLoad> local = new ArrayList<>();
-    List<EndpointLoad> remote = new ArrayList<>();
-    for (EndpointLoad load : endpoints.values()) {
-      if (load.isAvailable(nowNanos) && maySendTo(load, request) && load.freeSlots(nowNanos) > 0) {
-        (isRemote(load) ? remote : local).add(load);
-      }
-    }
-    double meanNanosPerUnit = meanNanosPerUnit();
-    return Stream.concat(
-            sample.draw(local, endpoints.size()).stream(),
-            sample.draw(remote, endpoints.size()).stream())
-        .min(
-            Comparator.comparingDouble(
-                    (EndpointLoad load) -> cost(load, meanNanosPerUnit, nowNanos))
-                .thenComparing(load -> load.endpoint().id()));
-  }
-
-  /**
-   * Estimates how long an endpoint would take to finish all its work including the new request,
-   * relative to a fully loaded endpoint of mean speed; the estimate is raised for remote endpoints.
-   */
-  private double cost(EndpointLoad load, double meanNanosPerUnit, long nowNanos) {
-    double slowness = load.meanNanosPerUnit().orElse(meanNanosPerUnit) / meanNanosPerUnit;
-    double occupancy = (load.estimatedInFlight(nowNanos) + 1.0) / load.slots();
-    double prefill = load.prefillTokens() / PREFILL_TOKENS_PER_FULL_LOAD;
-    return slowness
-        * load.momentarySlowness(nowNanos)
-        * (occupancy + prefill)
-        * (isRemote(load) ? REMOTE_COST_FACTOR : 1);
-  }
-
-  /** Returns the mean over all endpoints; 1 before the first answer, when it cancels out. */
-  private double meanNanosPerUnit() {
-    return endpoints.values().stream()
-        .flatMapToDouble(load -> load.meanNanosPerUnit().stream())
-        .average()
-        .orElse(1);
-  }
-
-  private boolean isRemote(EndpointLoad load) {
-    return !load.endpoint().domain().equals(domain);
-  }
-
   private PlacementDecision placed(WaitingRequest request, EndpointLoad load, long nowNanos) {
     int inFlight = load.estimatedInFlight(nowNanos);
     load.begin(request.promptTokens());
@@ -255,7 +265,7 @@
    * Returns 0 before the first answer.
    */
   private double expectedWaitNanos(int slots) {
-    int inFlight = endpoints.values().stream().mapToInt(EndpointLoad::inFlight).sum();
+    int inFlight = endpoints.values().stream().mapToInt(EndpointLoad::ownInFlight).sum();
     return residenceTime.meanNanos().orElse(0) * slots / Math.max(1, inFlight);
   }
 
@@ -308,7 +318,8 @@
     }
     EndpointLoad load = endpoints.get(endpoint);
     if (load != null) {
-      load.end(result, nowNanos);
+      load.end();
+      load.recordResult(result, nowNanos);
     }
   }
 
--- a/snipewick/src/main/java/org/snipewick/relay/RelayAttempt.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayAttempt.java
@@ -2,28 +2,26 @@
 
 import static java.util.Objects.requireNonNull;
 
+import java.time.Duration;
 import java.util.Optional;
 import org.snipewick.placement.AttemptResult;
-import org.snipewick.placement.PoolPlacement;
+import org.snipewick.placement.PlacementGrant;
+import org.snipewick.placement.ReportedLoad;
 import org.snipewick.registry.RegisteredEndpoint;
 import org.snipewick.transport.Exchange;
 
 /** One attempt to run a request at an endpoint; uses one of the endpoint's slots until it ends. */
 final class RelayAttempt {
   private final RegisteredEndpoint endpoint;
-  private final PoolPlacement placement;
-  private final long promptTokens;
+  private final PlacementGrant grant;
   private final long placedNanos;
   private final Exchange exchange = Exchange.of();
   private Progress progress = Progress.SENT;
-  private boolean isPrefillEnded;
   private boolean hasEnded;
 
-  RelayAttempt(
-      RegisteredEndpoint endpoint, PoolPlacement placement, long promptTokens, long placedNanos) {
+  RelayAttempt(RegisteredEndpoint endpoint, PlacementGrant grant, long placedNanos) {
     this.endpoint = requireNonNull(endpoint, "endpoint");
-    this.placement = requireNonNull(placement, "placement");
-    this.promptTokens = promptTokens;
+    this.grant = requireNonNull(grant, "grant");
     this.placedNanos = placedNanos;
   }
 
@@ -61,18 +59,24 @@
 
   /** Records that prefill has ended or was abandoned; later calls have no effect. */
   void endPrefill() {
-    if (!isPrefillEnded) {
-      isPrefillEnded = true;
-      placement.endPrefill(endpoint.id(), promptTokens);
-    }
+    grant.endPrefill();
+  }
+
+  /** Records the load that the endpoint reported with its answer. */
+  void updateReportedLoad(ReportedLoad load, long nowNanos) {
+    grant.updateReportedLoad(load, nowNanos);
+  }
+
+  /** Records that the endpoint asked for a pause. */
+  void pause(Duration pause, long nowNanos) {
+    grant.pause(pause, nowNanos);
   }
 
   /** Frees the slot; later calls have no effect. */
   void end(AttemptResult result, long nowNanos) {
     if (!hasEnded) {
       hasEnded = true;
-      endPrefill();
-      placement.end(endpoint.id(), result, placedNanos, nowNanos);
+      grant.end(result, nowNanos);
     }
   }
 
@@ -82,7 +86,7 @@
    */
   void endWithResponse(boolean isSuccess, long nowNanos) {
     if (isSuccess) {
-      placement.recordServiceTime(endpoint.id(), nowNanos - placedNanos, nowNanos);
+      grant.recordServiceTime(nowNanos - placedNanos, nowNanos);
     }
     end(isSuccess ? AttemptResult.ANSWERED : AttemptResult.FAILED, nowNanos);
   }
@@ -91,7 +95,7 @@
    * Records the mean time per chunk of a stream, if known, as a measure of the endpoint's speed.
    */
   void recordChunkTime(Optional<Double> nanosPerChunk, long nowNanos) {
-    nanosPerChunk.ifPresent(nanos -> placement.recordServiceTime(endpoint.id(), nanos, nowNanos));
+    nanosPerChunk.ifPresent(nanos -> grant.recordServiceTime(nanos, nowNanos));
   }
 
   /** Closes the connection, which makes the endpoint cancel the request, and frees the slot. */
--- a/snipewick/src/main/java/org/snipewick/relay/RelayDispatcher.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayDispatcher.java
@@ -6,10 +6,8 @@
 import io.activej.promise.Promise;
 import java.time.Duration;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
@@ -22,7 +20,8 @@
 import org.snipewick.identity.PoolName;
 import org.snipewick.placement.AttemptResult;
 import org.snipewick.placement.PlacementDecision;
-import org.snipewick.placement.PoolPlacement;
+import org.snipewick.placement.PlacementGrant;
+import org.snipewick.placement.PlacementListener;
 import org.snipewick.placement.WaitingRequest;
 import org.snipewick.registry.RegisteredEndpoint;
 import org.snipewick.route.CallKind;
@@ -32,12 +31,6 @@
  * that may be retried, and cancels those whose deadline has passed. Used on one event loop only.
  */
 final class RelayDispatcher implements StreamForwarder.CallHandler {
-  /**
-   * Time between placement decisions while requests wait. It bounds the delay until slots that were
-   * freed at an endpoint by peers, and endpoints whose pause has ended, are used.
-   */
-  private static final Duration PLACEMENT_PERIOD = Duration.ofMillis(20);
-
   private static final int OK = 200;
   private static final Duration RETRY_AFTER_WITHOUT_POOL = Duration.ofSeconds(1);
   private static final Duration RETRY_AFTER_REJECTION = Duration.ofMillis(300);
@@ -48,7 +41,6 @@
   private final StreamForwarder streamForwarder;
   private final ResponseBodies responseBodies;
   private final RelayPools pools;
-  private final Map<String, RelayCall> waiting = new HashMap<>();
   private final CallQuarantine quarantine;
   private final PlannedStop plannedStop;
   private final EndpointLimits limits = new EndpointLimits();
@@ -57,7 +49,6 @@
   private final Set<RelayCall> openCalls = new LinkedHashSet<>();
 
   private Consumer<RegisteredEndpoint> departureListener = endpoint -> {};
-  private boolean isPlacementScheduled;
   private long nextWaitingId;
 
   RelayDispatcher(RelayDependencies dependencies) {
@@ -93,7 +84,6 @@
   void updateEndpoints(Collection<RegisteredEndpoint> endpoints) {
     pools.updateEndpoints(endpoints);
     limits.retain(endpoints.stream().map(RegisteredEndpoint::id).collect(Collectors.toSet()));
-    pools.names().forEach(this::decidePlacement);
   }
 
   /** Sets the listener to endpoints that announce their departure in a response. */
@@ -208,65 +198,62 @@
   private void enqueue(RelayCall call) {
     String waitingId = Long.toString(nextWaitingId++);
     call.setWaitingId(waitingId);
-    waiting.put(waitingId, call);
-    pools
-        .placement(call.pool())
-        .add(
-            new WaitingRequest(
-                waitingId,
-                call.tier(),
-                call.request().receivedNanos(),
-                call.onTimeUntilNanos(),
-                call.latestResponseStartNanos(),
-                call.request().promptTokens(),
-                call.triedEndpoints()));
-    decidePlacement(call.pool());
-  }
+    WaitingRequest request =
+        new WaitingRequest(
+            waitingId,
+            call.tier(),
+            call.request().receivedNanos(),
+            call.onTimeUntilNanos(),
+            call.latestResponseStartNanos(),
+            call.request().promptTokens(),
+            call.triedEndpoints());
+    pools.placer().place(call.pool(), request, new DecisionHandler(call, waitingId));
+  }
+
+  /** Carries out the decision about a call, unless the call has ended or was queued again. */
+  private final class DecisionHandler implements PlacementListener {
+    private final RelayCall call;
+    private final String waitingId;
+
+    private DecisionHandler(RelayCall call, String waitingId) {
+      this.call = call;
+      this.waitingId = waitingId;
+    }
 
-  @Override
-  public void decidePlacement(PoolName name) {
-    PoolPlacement pool = pools.placement(name);
-    for (PlacementDecision decision : pool.decide(now())) {
-      RelayCall call = waiting.remove(decision.request().id());
-      if (call != null && !call.isFinished()) {
-        runGuarded(call, () -> carryOut(call, decision));
-      } else if (decision instanceof PlacementDecision.Placed placed) {
-        attemptAt(placed, pool).end(AttemptResult.CANCELLED, now());
-      }
+    private boolean isExpected() {
+      return !call.isFinished() && call.waitingId().equals(waitingId);
     }
-    if (pool.waiting() > 0) {
-      schedulePlacement();
+
+    @Override
+    public void onPlaced(PlacementDecision.Placed placed, PlacementGrant grant) {
+      RelayAttempt attempt = new RelayAttempt(placed.endpoint(), grant, now());
+      if (isExpected()) {
+        runGuarded(call, () -> carryOut(placed, attempt));
+      } else {
+        attempt.end(AttemptResult.CANCELLED, now());
+      }
     }
-  }
 
-  private void carryOut(RelayCall call, PlacementDecision decision) {
-    if (decision instanceof PlacementDecision.Placed placed) {
-      RelayAttempt attempt = attemptAt(placed, pools.placement(call.pool()));
+    private void carryOut(PlacementDecision.Placed placed, RelayAttempt attempt) {
       try {
         send(call, placed, attempt);
       } catch (RuntimeException | Error defect) {
         attempt.cancel(now());
         throw defect;
       }
-    } else {
-      fail(call, Refusals.toFailure((PlacementDecision.Refused) decision, call.mayHaveRun()));
     }
-  }
 
-  private RelayAttempt attemptAt(PlacementDecision.Placed placed, PoolPlacement pool) {
-    return new RelayAttempt(placed.endpoint(), pool, placed.request().promptTokens(), now());
-  }
-
-  private void schedulePlacement() {
-    if (!isPlacementScheduled) {
-      isPlacementScheduled = true;
-      dependencies.timer().after(PLACEMENT_PERIOD, this::decideAllPlacements);
+    @Override
+    public void onRefused(PlacementDecision.Refused refused) {
+      if (isExpected()) {
+        runGuarded(call, () -> fail(call, Refusals.toFailure(refused, call.mayHaveRun())));
+      }
     }
   }
 
-  private void decideAllPlacements() {
-    isPlacementScheduled = false;
-    pools.names().forEach(this::decidePlacement);
+  @Override
+  public void decidePlacement(PoolName pool) {
+    pools.placer().decide(pool);
   }
 
   private void send(RelayCall call, PlacementDecision.Placed placed, RelayAttempt attempt) {
@@ -316,15 +303,9 @@
       departureListener.accept(attempt.endpoint());
     }
     recordLimit(attempt.endpoint().id(), head);
-    head.requestedPause()
-        .ifPresent(
-            pause -> pools.placement(call.pool()).pause(attempt.endpoint().id(), pause, now()));
+    head.requestedPause().ifPresent(pause -> attempt.pause(pause, now()));
     head.reportedLoad(dependencies.headerNames())
-        .ifPresent(
-            load ->
-                pools
-                    .placement(call.pool())
-                    .updateReportedLoad(attempt.endpoint().id(), load, now()));
+        .ifPresent(load -> attempt.updateReportedLoad(load, now()));
     Optional<String> error = head.protocolError(call.request().id(), dependencies.headerNames());
     if (error.isPresent()) {
       attempt.exchange().cancel();
@@ -518,8 +499,7 @@
     call.endAttempt();
     Steps.runAll(
         () -> finish(call),
-        () -> waiting.remove(call.waitingId()),
-        () -> pools.placement(call.pool()).remove(call.waitingId()),
+        () -> pools.placer().withdraw(call.pool(), call.waitingId()),
         () -> attempt.ifPresent(running -> running.cancel(now())));
   }
 
