Let one broker per failure domain place the requests of a pool

In large fleets each instance placed requests by counts that are some hundred milliseconds old, so that many chose the same endpoint. In fleets of more than 16 instances, one instance per failure domain now runs the queue of a pool for all instances of its domain. The others ask it over the connections between instances, place by themselves after 40 ms without a reply, and move on to the next candidate after a second. Epochs, sessions and numbered messages show what either side has forgotten, so that each request in flight is counted once. CollectorChoice is now CandidateChoice, as both uses share it.

--- a/snipewick/src/main/java/org/snipewick/cli/FrontCommand.java
+++ b/snipewick/src/main/java/org/snipewick/cli/FrontCommand.java
@@ -3,6 +3,7 @@
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
 import java.nio.file.Path;
+import org.snipewick.placement.PoolPlacement;
 import org.snipewick.platform.FrontProcess;
 
 /** Runs the process of an instance on the users' platform until it is stopped. */
@@ -16,6 +17,13 @@
           "settings file in the platform's format; by default the one named by " + FILE_VARIABLE)
   private Path file;
 
+  @Parameter(
+      names = "--remote-cost-factor",
+      description =
+          "price of a request to another failure domain: factor by which endpoints there cost more"
+              + " than local ones, at least 1")
+  private double remoteCostFactor = PoolPlacement.DEFAULT_REMOTE_COST_FACTOR;
+
   @Override
   public ExitCode run(Console console) {
     String fileFromEnvironment = System.getenv(FILE_VARIABLE);
@@ -23,7 +31,11 @@
       console.err().println("neither --settings nor " + FILE_VARIABLE + " names a file");
       return ExitCode.REFUSED;
     }
-    FrontProcess.run(file == null ? Path.of(fileFromEnvironment) : file);
+    if (!(remoteCostFactor >= 1 && Double.isFinite(remoteCostFactor))) {
+      console.err().println("--remote-cost-factor is not a number from 1 on: " + remoteCostFactor);
+      return ExitCode.REFUSED;
+    }
+    FrontProcess.run(file == null ? Path.of(fileFromEnvironment) : file, remoteCostFactor);
     return ExitCode.SUCCESS;
   }
 }
--- a/snipewick/src/main/java/org/snipewick/event/EventType.java
+++ b/snipewick/src/main/java/org/snipewick/event/EventType.java
@@ -88,6 +88,14 @@
   PART_RELEASED(409, Level.INFO, "prompt part released"),
   /** An endpoint named the rate of requests that it takes, changed it, or no longer names one. */
   ENDPOINT_LIMITED(410, Level.INFO, "endpoint limited"),
+  /** Another instance places the requests of a pool for this one from now on. */
+  BROKER_CHANGED(411, Level.INFO, "broker changed"),
+  /** A broker does not reply; this instance places its requests itself. */
+  BROKER_SILENT(412, Level.WARNING, "broker silent"),
+  /** A broker no longer knows the requests that it placed; this instance counts them itself. */
+  BROKER_SESSION_LOST(413, Level.INFO, "broker session lost"),
+  /** This broker dropped the requests of an instance that is gone or silent. */
+  REQUESTER_DROPPED(414, Level.INFO, "requester dropped"),
   /** The platform no longer responds. */
   PLATFORM_LOST(500, Level.WARNING, "platform unavailable"),
   /** The platform responds again. */
--- a/snipewick/src/main/java/org/snipewick/fleet/Fleet.java
+++ b/snipewick/src/main/java/org/snipewick/fleet/Fleet.java
@@ -45,7 +45,7 @@
   private final Supplier<FleetMessages.Report> reports;
   private final Listener listener;
   private final ReportAggregator aggregator;
-  private final CollectorChoice choice;
+  private final CandidateChoice choice;
   private final Map<InstanceId, FleetMember> peers = new HashMap<>();
 
   /** Index of the candidate of each group that is tried while its collector is unknown. */
@@ -68,7 +68,7 @@
     this.reports = requireNonNull(reports, "reports");
     this.listener = requireNonNull(listener, "listener");
     this.aggregator = ReportAggregator.empty();
-    this.choice = new CollectorChoice(self.instance(), timer.nanoTime());
+    this.choice = new CandidateChoice(self.instance(), timer.nanoTime());
     this.groups = FleetGroups.of(self, List.of());
     this.latestCollector = self.instance();
   }
@@ -144,6 +144,16 @@
     return Set.copyOf(peers.keySet());
   }
 
+  /**
+   * Returns whether a fleet is large, so that its instances are divided into groups.
+   *
+   * @param instances number of registered instances
+   * @return whether it has more than 16
+   */
+  public static boolean isLarge(int instances) {
+    return instances > FleetGroups.MAX_UNGROUPED_INSTANCES;
+  }
+
   private void scheduleReport() {
     timer.after(groups.reportPeriod(), this::exchangeReports);
   }
@@ -152,7 +162,7 @@
     final long now = timer.nanoTime();
     final FleetMessages.Report report = reports.get();
     choice.replaceSilent(collectorTimeout(), now);
-    InstanceId collector = choice.collector();
+    InstanceId collector = choice.chosen();
     recordCollector(collector);
     if (collector.equals(self.instance())) {
       aggregator.addReport(self.instance(), report, now);
@@ -224,7 +234,7 @@
   }
 
   private void onPeerSum(InstanceId from, FleetMessages.PeerSum sum) {
-    if (choice.onSum(from, timer.nanoTime())) {
+    if (choice.onAnswer(from, timer.nanoTime())) {
       notifyListener(sum);
     }
   }
--- a/snipewick/src/main/java/org/snipewick/fleet/FleetGroups.java
+++ b/snipewick/src/main/java/org/snipewick/fleet/FleetGroups.java
@@ -25,7 +25,7 @@
  */
 record FleetGroups(InstanceId self, String ownGroup, Map<String, List<InstanceId>> candidates) {
   /** Larger fleets are divided into groups of several instances. */
-  private static final int MAX_UNGROUPED_INSTANCES = 16;
+  static final int MAX_UNGROUPED_INSTANCES = 16;
 
   /** Failure domains with more instances are divided into several groups. */
   private static final int MAX_GROUP_INSTANCES = 24;
--- a/snipewick/src/main/java/org/snipewick/fleet/FleetMember.java
+++ b/snipewick/src/main/java/org/snipewick/fleet/FleetMember.java
@@ -8,6 +8,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
+import java.util.OptionalDouble;
 import org.snipewick.identity.FailureDomain;
 import org.snipewick.identity.InstanceId;
 import org.snipewick.identity.IpAddress;
@@ -19,8 +20,10 @@
  * @param instance name of the instance, the key of its row
  * @param domain failure domain
  * @param address address at which it accepts connections of peers
+ * @param cores share of a core, or number of cores, that it may use; empty if it does not tell
  */
-public record FleetMember(InstanceId instance, FailureDomain domain, InetSocketAddress address) {
+public record FleetMember(
+    InstanceId instance, FailureDomain domain, InetSocketAddress address, OptionalDouble cores) {
   /** Table that contains one row per instance. */
   public static final String TABLE = "instances";
 
@@ -31,6 +34,18 @@
     requireNonNull(instance, "instance");
     requireNonNull(domain, "domain");
     requireNonNull(address, "address");
+    requireNonNull(cores, "cores");
+  }
+
+  /**
+   * Creates the registration of an instance that does not tell what it may use of its cores.
+   *
+   * @param instance name of the instance
+   * @param domain failure domain
+   * @param address address at which it accepts connections of peers
+   */
+  public FleetMember(InstanceId instance, FailureDomain domain, InetSocketAddress address) {
+    this(instance, domain, address, OptionalDouble.empty());
   }
 
   /** Returns the content of the row as JSON. */
@@ -39,6 +54,7 @@
     node.put("domain", domain.value());
     node.put("host", address.getHostString());
     node.put("port", address.getPort());
+    cores.ifPresent(number -> node.put("cores", number));
     try {
       return JSON.writeValueAsBytes(node);
     } catch (IOException impossible) {
@@ -63,6 +79,15 @@
     return new FleetMember(
         InstanceId.of(row.key()),
         FailureDomain.of(node.path("domain").asText()),
-        IpAddress.withPort(node.path("host").asText(), port.intValue()));
+        IpAddress.withPort(node.path("host").asText(), port.intValue()),
+        decodeCores(node.path("cores")));
+  }
+
+  /** Returns the number in a field; another value does not make the instance unusable. */
+  private static OptionalDouble decodeCores(JsonNode node) {
+    double number = node.asDouble();
+    return node.isNumber() && Double.isFinite(number) && number > 0
+        ? OptionalDouble.of(number)
+        : OptionalDouble.empty();
   }
 }
--- a/snipewick/src/main/java/org/snipewick/placement/EndpointChoice.java
+++ b/snipewick/src/main/java/org/snipewick/placement/EndpointChoice.java
@@ -16,14 +16,10 @@
   /** Prompt tokens in prefill that delay an endpoint as much as all of its slots in use. */
   private static final double PREFILL_TOKENS_PER_FULL_LOAD = 20_000;
 
-  /**
-   * Endpoints in other failure domains are chosen only if the local ones are about a third more
-   * loaded.
-   */
-  private static final double REMOTE_COST_FACTOR = 1.3;
-
   private final FailureDomain domain;
   private final CandidateSample sample;
+  private final RemoteShare remoteShare = new RemoteShare();
+  private double remoteCostFactor = PoolPlacement.DEFAULT_REMOTE_COST_FACTOR;
 
   EndpointChoice(FailureDomain domain, RandomGenerator random) {
     this.domain = requireNonNull(domain, "domain");
@@ -33,6 +29,28 @@
   /** Sets the number of instances that choose among the endpoints, this one included. */
   void setInstances(int count) {
     sample.setInstances(count);
+    remoteShare.setUnbounded();
+  }
+
+  /** Sets the number of brokers that choose instead of the instances, this one included. */
+  void setBrokers(int count) {
+    sample.setInstances(count);
+    remoteShare.setBrokers(count);
+  }
+
+  /** Sets the factor by which endpoints in other failure domains cost more than local ones. */
+  void setRemoteCostFactor(double factor) {
+    remoteCostFactor = factor;
+  }
+
+  /** Returns whether brokers choose among the endpoints, of which this instance is one. */
+  boolean isBroker() {
+    return remoteShare.isBounded();
+  }
+
+  /** Handles newer counts of the peers' requests in flight. */
+  void onPeersInFlight() {
+    remoteShare.onPeersInFlight();
   }
 
   /** Returns whether a request was not sent to an endpoint before. */
@@ -48,19 +66,29 @@
       Collection<EndpointLoad> endpoints, WaitingRequest request, long nowNanos) {
     List<EndpointLoad> local = new ArrayList<>();
     List<EndpointLoad> remote = new ArrayList<>();
+    remoteShare.refresh(endpoints, nowNanos);
     for (EndpointLoad load : endpoints) {
       if (load.isAvailable(nowNanos) && maySendTo(load, request) && load.freeSlots(nowNanos) > 0) {
-        (isRemote(load) ? remote : local).add(load);
+        if (!isRemote(load)) {
+          local.add(load);
+        } else if (remoteShare.isLeft(load.endpoint().domain())) {
+          remote.add(load);
+        }
       }
     }
     double meanNanosPerUnit = meanNanosPerUnit(endpoints);
-    return Stream.concat(
-            sample.draw(local, endpoints.size()).stream(),
-            sample.draw(remote, endpoints.size()).stream())
-        .min(
-            Comparator.comparingDouble(
-                    (EndpointLoad load) -> cost(load, meanNanosPerUnit, nowNanos))
-                .thenComparing(load -> load.endpoint().id()));
+    Optional<EndpointLoad> chosen =
+        Stream.concat(
+                sample.draw(local, endpoints.size()).stream(),
+                sample.draw(remote, endpoints.size()).stream())
+            .min(
+                Comparator.comparingDouble(
+                        (EndpointLoad load) -> cost(load, meanNanosPerUnit, nowNanos))
+                    .thenComparing(load -> load.endpoint().id()));
+    chosen
+        .filter(this::isRemote)
+        .ifPresent(load -> remoteShare.countPlaced(load.endpoint().domain()));
+    return chosen;
   }
 
   /**
@@ -74,7 +102,7 @@
     return slowness
         * load.momentarySlowness(nowNanos)
         * (occupancy + prefill)
-        * (isRemote(load) ? REMOTE_COST_FACTOR : 1);
+        * (isRemote(load) ? remoteCostFactor : 1);
   }
 
   /** Returns the mean over all endpoints; 1 before the first answer, when it cancels out. */
--- a/snipewick/src/main/java/org/snipewick/placement/LocalPlacer.java
+++ b/snipewick/src/main/java/org/snipewick/placement/LocalPlacer.java
@@ -27,6 +27,7 @@
   private final Map<PoolName, PoolPlacement> pools = new HashMap<>();
   private final Map<PoolName, Map<String, PlacementListener>> listeners = new HashMap<>();
   private int instances = 1;
+  private double remoteCostFactor = PoolPlacement.DEFAULT_REMOTE_COST_FACTOR;
   private boolean isDecisionScheduled;
 
   private LocalPlacer(Supplier<PoolPlacement> emptyPools, TimerService timer) {
@@ -57,6 +58,7 @@
         pool -> {
           PoolPlacement created = emptyPools.get();
           created.setInstances(instances);
+          created.setRemoteCostFactor(remoteCostFactor);
           return created;
         });
   }
@@ -80,6 +82,16 @@
     pools.values().forEach(pool -> pool.setInstances(count));
   }
 
+  /**
+   * Sets the price of requests to other failure domains.
+   *
+   * @param factor factor by which endpoints there cost more than local ones, at least 1
+   */
+  public void setRemoteCostFactor(double factor) {
+    remoteCostFactor = factor;
+    pools.values().forEach(pool -> pool.setRemoteCostFactor(factor));
+  }
+
   /**
    * Replaces the endpoints of all pools and decides about all waiting requests.
    *
@@ -135,7 +147,7 @@
    */
   public void enqueue(PoolName name, WaitingRequest request, PlacementListener listener) {
     listeners.computeIfAbsent(name, pool -> new HashMap<>()).put(request.id(), listener);
-    pool(name).add(request);
+    pool(name).add(request, timer.nanoTime());
   }
 
   @Override
--- a/snipewick/src/main/java/org/snipewick/placement/PoolPlacement.java
+++ b/snipewick/src/main/java/org/snipewick/placement/PoolPlacement.java
@@ -24,6 +24,12 @@
  * when it has a free slot. Not thread-safe.
  */
 public final class PoolPlacement {
+  /**
+   * By default, endpoints in other failure domains are chosen only if the local ones are about a
+   * third more loaded.
+   */
+  public static final double DEFAULT_REMOTE_COST_FACTOR = 1.3;
+
   private final QueueOrder order;
   private final WaitLimit waitLimit;
   private final EndpointChoice choice;
@@ -31,6 +37,7 @@
   private final List<WaitingRequest> waiting = new ArrayList<>();
   private final ResidenceTime residenceTime = new ResidenceTime();
   private final ReturnSchedule returns = new ReturnSchedule();
+  private final TeamShares teamShares = new TeamShares();
 
   private PoolPlacement(
       FailureDomain domain, QueueOrder order, WaitLimit waitLimit, RandomGenerator random) {
@@ -62,6 +69,25 @@
     choice.setInstances(count);
   }
 
+  /**
+   * Sets the number of brokers that choose among the endpoints, because this instance is the broker
+   * of its failure domain. Replaces {@link #setInstances}, and the reverse.
+   *
+   * @param count number of brokers, this one included
+   */
+  public void setBrokers(int count) {
+    choice.setBrokers(count);
+  }
+
+  /**
+   * Sets the price of a request to another failure domain.
+   *
+   * @param factor factor by which endpoints there cost more than local ones, at least 1
+   */
+  public void setRemoteCostFactor(double factor) {
+    choice.setRemoteCostFactor(factor);
+  }
+
   /**
    * Replaces the endpoints of the pool by those listed now.
    *
@@ -90,6 +116,17 @@
     waiting.add(requireNonNull(request, "request"));
   }
 
+  /**
+   * Adds a request to the queue; if this instance is a broker, behind others of its tier if its
+   * team sends more than usual.
+   *
+   * @param request request that waits
+   * @param nowNanos current monotonic time, in nanoseconds
+   */
+  public void add(WaitingRequest request, long nowNanos) {
+    add(choice.isBroker() ? teamShares.order(request, nowNanos) : request);
+  }
+
   /**
    * Returns the permission that belongs to a decision of this queue.
    *
@@ -187,11 +224,12 @@
     }
     List<PlacementDecision> decisions = new ArrayList<>();
     waiting.sort(order.at(nowNanos));
+    EndpointsSummary summary = new EndpointsSummary(endpoints.values(), nowNanos);
     Iterator<WaitingRequest> iterator = waiting.iterator();
     int requestsAhead = 0;
     while (iterator.hasNext()) {
       WaitingRequest request = iterator.next();
-      Optional<PlacementDecision> decision = decide(request, requestsAhead, nowNanos);
+      Optional<PlacementDecision> decision = decide(request, requestsAhead, summary, nowNanos);
       if (decision.isPresent()) {
         iterator.remove();
         decisions.add(decision.get());
@@ -203,12 +241,12 @@
   }
 
   private Optional<PlacementDecision> decide(
-      WaitingRequest request, int requestsAhead, long nowNanos) {
-    if (!hasCandidate(request)) {
+      WaitingRequest request, int requestsAhead, EndpointsSummary summary, long nowNanos) {
+    if (!summary.hasCandidate(request)) {
       return Optional.of(
           refused(request, PlacementDecision.Reason.NO_ENDPOINT, requestsAhead, nowNanos));
     }
-    long pauseNanos = shortestRequestedPauseNanos(request, nowNanos);
+    long pauseNanos = summary.shortestRequestedPauseNanos(request);
     if (pauseNanos > 0 && pauseNanos > waitLimit.maxWaitNanos(request, nowNanos)) {
       return Optional.of(
           new PlacementDecision.Refused(
@@ -219,7 +257,9 @@
     if (requestsAhead == 0) {
       Optional<EndpointLoad> free = choice.choose(endpoints.values(), request, nowNanos);
       if (free.isPresent()) {
-        return Optional.of(placed(request, free.get(), nowNanos));
+        PlacementDecision placed = placed(request, free.get(), nowNanos);
+        summary.countPlaced();
+        return Optional.of(placed);
       }
     }
     if (nowNanos - request.arrivedNanos()
@@ -227,27 +267,14 @@
       return Optional.of(
           refused(request, PlacementDecision.Reason.WAITED_TOO_LONG, requestsAhead, nowNanos));
     }
-    if (expectedWaitNanos(requestsAhead + 1) > waitLimit.maxWaitNanos(request, nowNanos)) {
+    if (expectedWaitNanos(requestsAhead + 1, summary.ownInFlight())
+        > waitLimit.maxWaitNanos(request, nowNanos)) {
       return Optional.of(
           refused(request, PlacementDecision.Reason.QUEUE_TOO_LONG, requestsAhead, nowNanos));
     }
     return Optional.empty();
   }
 
-  private boolean hasCandidate(WaitingRequest request) {
-    return endpoints.values().stream()
-        .anyMatch(load -> !load.endpoint().isLeaving() && EndpointChoice.maySendTo(load, request));
-  }
-
-  /** Returns the time until an endpoint that may run the request has not asked for a pause. */
-  private long shortestRequestedPauseNanos(WaitingRequest request, long nowNanos) {
-    return endpoints.values().stream()
-        .filter(load -> !load.endpoint().isLeaving() && EndpointChoice.maySendTo(load, request))
-        .mapToLong(load -> load.requestedPauseNanos(nowNanos))
-        .min()
-        .orElse(0);
-  }
-
   private PlacementDecision placed(WaitingRequest request, EndpointLoad load, long nowNanos) {
     int inFlight = load.estimatedInFlight(nowNanos);
     load.begin(request.promptTokens());
@@ -264,15 +291,18 @@
    * instance has in flight are assumed to end at an even rate, each after the mean residence time.
    * Returns 0 before the first answer.
    */
-  private double expectedWaitNanos(int slots) {
-    int inFlight = endpoints.values().stream().mapToInt(EndpointLoad::ownInFlight).sum();
+  private double expectedWaitNanos(int slots, int inFlight) {
     return residenceTime.meanNanos().orElse(0) * slots / Math.max(1, inFlight);
   }
 
   /** Returns the time at which a refused request may return, and books a slot for it. */
   private Duration retryAfter(int requestsAhead, long nowNanos) {
+    int inFlight = endpoints.values().stream().mapToInt(EndpointLoad::ownInFlight).sum();
     return ReturnSchedule.atLeastMinimum(
-        returns.book(expectedWaitNanos(requestsAhead + 1), expectedWaitNanos(1), nowNanos));
+        returns.book(
+            expectedWaitNanos(requestsAhead + 1, inFlight),
+            expectedWaitNanos(1, inFlight),
+            nowNanos));
   }
 
   /**
@@ -362,6 +392,7 @@
     endpoints.forEach(
         (id, load) ->
             load.setPeersInFlight(inFlight.getOrDefault(id, 0), isComplete, validUntilNanos));
+    choice.onPeersInFlight();
   }
 
   /**
--- a/snipewick/src/main/java/org/snipewick/placement/QueueOrder.java
+++ b/snipewick/src/main/java/org/snipewick/placement/QueueOrder.java
@@ -16,8 +16,8 @@
 
   /**
    * Returns an order by tier; within a tier, requests that can still meet their target latency come
-   * first, then by arrival. During an overload of a few seconds, requests that are already late
-   * thus do not make other requests late as well.
+   * first, then by arrival, or by the time that a broker has set instead. During an overload of a
+   * few seconds, requests that are already late thus do not make other requests late as well.
    *
    * @return order
    */
@@ -25,7 +25,7 @@
     return nowNanos ->
         Comparator.comparing(WaitingRequest::tier)
             .thenComparing(request -> request.onTimeUntilNanos() - nowNanos < 0)
-            .thenComparingLong(WaitingRequest::arrivedNanos);
+            .thenComparingLong(WaitingRequest::precedenceNanos);
   }
 
   /**
--- a/snipewick/src/main/java/org/snipewick/platform/FrontProcess.java
+++ b/snipewick/src/main/java/org/snipewick/platform/FrontProcess.java
@@ -12,6 +12,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import org.snipewick.broker.BrokerMessages;
+import org.snipewick.broker.BrokeredPlacer;
 import org.snipewick.event.EventType;
 import org.snipewick.event.LogFormat;
 import org.snipewick.event.Timeline;
@@ -130,6 +132,7 @@
   private final RelayServer relay;
   private final EndpointRegistry registry;
   private final CountDownLatch stopped = new CountDownLatch(1);
+  private Runnable stopBroker = () -> {};
   private boolean isStopping;
 
   private FrontProcess(NodeSettings settings) throws IOException {
@@ -167,13 +170,16 @@
    * Runs a process until it is stopped; the calling thread runs its event loop.
    *
    * @param file settings file
+   * @param remoteCostFactor factor by which endpoints in other failure domains cost more than those
+   *     in the own one, at least 1
    * @throws org.snipewick.failure.FailureException with {@link FailureType#SETTINGS_INVALID} if the
    *     settings are invalid or an address cannot be bound
    */
-  public static void run(Path file) {
+  public static void run(Path file, double remoteCostFactor) {
     NodeSettings settings = NodeSettings.read(file);
     try {
       FrontProcess process = new FrontProcess(settings);
+      process.relay.localPlacer().setRemoteCostFactor(remoteCostFactor);
       Runtime.getRuntime().addShutdownHook(new Thread(process::stopAndWait, "planned-stop"));
       Signal.handle(
           new Signal("HUP"), signal -> process.eventloop.execute(() -> process.reload(file)));
@@ -211,7 +217,8 @@
         ENDPOINT_POLLS,
         new EndpointRowListener(registry, events));
     startMirror(store, Quarantine.TABLE, QUARANTINE_POLLS, quarantine);
-    FleetMember self = new FleetMember(settings.instance(), settings.domain(), settings.peers());
+    FleetMember self =
+        new FleetMember(settings.instance(), settings.domain(), settings.peers(), settings.cores());
     CompletableFuture<Void> unused =
         InstanceRegistration.start(store, self, timer, events, new SplittableRandom())
             .thenAccept(incarnation -> joinFleet(self, store, incarnation, configuration));
@@ -237,12 +244,27 @@
             settings.instance(),
             incarnation,
             settings.peers(),
-            PeerCodec.ofAll(FleetMessages.MESSAGE_TYPES, QuotaMessages.MESSAGE_TYPES),
+            PeerCodec.ofAll(
+                FleetMessages.MESSAGE_TYPES,
+                QuotaMessages.MESSAGE_TYPES,
+                BrokerMessages.MESSAGE_TYPES),
             peerTimer,
             events,
             new SplittableRandom());
     quotas.join(network, eventloop, store, store, incarnation);
-    PeerReports reports = new PeerReports(self, quotas, relay);
+    BrokeredPlacer placer =
+        BrokeredPlacer.start(
+            self,
+            relay.localPlacer(),
+            network,
+            eventloop,
+            timer,
+            events,
+            metrics,
+            new SplittableRandom());
+    relay.setPlacer(placer);
+    stopBroker = placer::stop;
+    PeerReports reports = new PeerReports(self, quotas, relay, placer);
     Fleet fleet = Fleet.start(self, network, eventloop, timer, events, reports::report, reports);
     startMirror(store, FleetMember.TABLE, INSTANCE_POLLS, fleet);
     configuration.setProofExchange(
@@ -294,6 +316,7 @@
     Duration lastPart = settings.stopGrace().dividedBy(GRACE_PARTS);
     Duration callsEnd = settings.stopGrace().minus(lastPart);
     relay.beginStop(callsEnd);
+    stopBroker.run();
     quotas.release();
     timer.after(BALANCER_DETECTION_DELAY, this::endWhenIdle);
     timer.after(callsEnd, relay::endAllCalls);
--- a/snipewick/src/main/java/org/snipewick/platform/NodeSettings.java
+++ b/snipewick/src/main/java/org/snipewick/platform/NodeSettings.java
@@ -9,6 +9,7 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.OptionalDouble;
 import org.snipewick.failure.Failure;
 import org.snipewick.failure.FailureType;
 import org.snipewick.identity.FailureDomain;
@@ -35,6 +36,8 @@
  * @param retryWindow time over which requests and retries are counted; "bounds.budget_window_s"
  * @param quotas how far quotas may be exceeded; "bounds.quota_window_s", "quota_over" and
  *     "quota_slack"
+ * @param cores cores, or share of a core, that the process may use; "limits.cpu_share" times
+ *     "limits.cores", empty if one of them is missing
  * @param isFirstStart whether the whole system starts for the first time; "first_start"
  */
 public record NodeSettings(
@@ -50,6 +53,7 @@
     double additionalRetries,
     Duration retryWindow,
     QuotaBounds quotas,
+    OptionalDouble cores,
     boolean isFirstStart) {
   private static final ObjectMapper YAML = new ObjectMapper(new YAMLFactory());
   private static final double MILLIS_PER_SECOND = 1000;
@@ -66,6 +70,7 @@
     requireNonNull(stopGrace, "stopGrace");
     requireNonNull(retryWindow, "retryWindow");
     requireNonNull(quotas, "quotas");
+    requireNonNull(cores, "cores");
   }
 
   /**
@@ -106,9 +111,19 @@
             seconds(bounds.number("quota_window_s")),
             bounds.number("quota_over"),
             bounds.number("quota_slack")),
+        cores(fields),
         fields.bool("first_start"));
   }
 
+  private static OptionalDouble cores(Fields fields) {
+    if (fields.isMissing("limits")) {
+      return OptionalDouble.empty();
+    }
+    Fields limits = fields.object("limits");
+    double cores = limits.number("cpu_share", 0) * limits.number("cores", 0);
+    return cores > 0 ? OptionalDouble.of(cores) : OptionalDouble.empty();
+  }
+
   private static int firstPort(JsonNode range) {
     JsonNode first = range.path(0);
     if (!first.canConvertToInt() || first.intValue() < 1) {
--- a/snipewick/src/main/java/org/snipewick/platform/PeerReports.java
+++ b/snipewick/src/main/java/org/snipewick/platform/PeerReports.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.snipewick.broker.BrokeredPlacer;
 import org.snipewick.fleet.Fleet;
 import org.snipewick.fleet.FleetMember;
 import org.snipewick.fleet.FleetMessages;
@@ -23,11 +24,13 @@
   private final FleetMember self;
   private final TeamQuotas quotas;
   private final RelayServer relay;
+  private final BrokeredPlacer placer;
 
-  PeerReports(FleetMember self, TeamQuotas quotas, RelayServer relay) {
+  PeerReports(FleetMember self, TeamQuotas quotas, RelayServer relay, BrokeredPlacer placer) {
     this.self = requireNonNull(self, "self");
     this.quotas = requireNonNull(quotas, "quotas");
     this.relay = requireNonNull(relay, "relay");
+    this.placer = requireNonNull(placer, "placer");
   }
 
   /** Returns the report of this instance. */
@@ -45,6 +48,7 @@
     Set<InstanceId> instances = new HashSet<>();
     members.forEach(member -> instances.add(member.instance()));
     relay.setPeers(instances);
+    placer.setMembers(all);
   }
 
   @Override
--- a/snipewick/src/main/java/org/snipewick/relay/RelayDispatcher.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayDispatcher.java
@@ -200,13 +200,14 @@
     call.setWaitingId(waitingId);
     WaitingRequest request =
         new WaitingRequest(
-            waitingId,
-            call.tier(),
-            call.request().receivedNanos(),
-            call.onTimeUntilNanos(),
-            call.latestResponseStartNanos(),
-            call.request().promptTokens(),
-            call.triedEndpoints());
+                waitingId,
+                call.tier(),
+                call.request().receivedNanos(),
+                call.onTimeUntilNanos(),
+                call.latestResponseStartNanos(),
+                call.request().promptTokens(),
+                call.triedEndpoints())
+            .withTeam(call.team().map(team -> team.name().value()).orElse(""));
     pools.placer().place(call.pool(), request, new DecisionHandler(call, waitingId));
   }
 
--- a/snipewick/src/main/java/org/snipewick/relay/RelayServer.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayServer.java
@@ -18,6 +18,8 @@
 import java.util.function.Consumer;
 import org.snipewick.identity.EndpointId;
 import org.snipewick.identity.InstanceId;
+import org.snipewick.placement.LocalPlacer;
+import org.snipewick.placement.RequestPlacer;
 import org.snipewick.registry.RegisteredEndpoint;
 import org.snipewick.route.CallerLimits;
 import org.snipewick.route.RoutingPlan;
@@ -127,6 +129,24 @@
     return dispatcher.pools().inFlightByEndpoint();
   }
 
+  /**
+   * Returns the placer that decides by the queues of this instance.
+   *
+   * @return placer, used until another one is set
+   */
+  public LocalPlacer localPlacer() {
+    return dispatcher.pools().local();
+  }
+
+  /**
+   * Sets the placer that decides about new requests.
+   *
+   * @param placer placer that uses {@link #localPlacer} for the requests that it decides about here
+   */
+  public void setPlacer(RequestPlacer placer) {
+    dispatcher.pools().setPlacer(placer);
+  }
+
   /**
    * Sets the listener to endpoints that announce their departure in a response.
    *
--- a/snipewick/src/test/java/org/snipewick/platform/NodeSettingsTest.java
+++ b/snipewick/src/test/java/org/snipewick/platform/NodeSettingsTest.java
@@ -66,6 +66,14 @@
         .hasMessageContaining(field);
   }
 
+  @Test
+  void shouldMultiplyShareAndCoresWhenLimitsAreGiven() throws IOException {
+    String limits = "limits: {cpu_share: 0.75, cores: 2, memory_mb: 430}\n";
+    assertThat(read(EXAMPLE + limits).cores()).hasValue(1.5);
+    assertThat(read(EXAMPLE).cores()).isEmpty();
+    assertThat(read(EXAMPLE + "limits: {cores: 2}\n").cores()).isEmpty();
+  }
+
   private NodeSettings read(String text) throws IOException {
     return NodeSettings.read(Files.writeString(directory.resolve("node.yaml"), text));
   }
