--- a/snipewick/src/main/java/org/snipewick/broker/BrokeredGrant.java
+++ b/snipewick/src/main/java/org/snipewick/broker/BrokeredGrant.java
@@ -42,7 +42,7 @@
     this.endpoint = requireNonNull(endpoint, "endpoint");
     this.promptTokens = promptTokens;
     this.placedNanos = placedNanos;
-    pool.beginPlacedByPeer(endpoint);
+    pool.placedByPeers().begin(endpoint);
   }
 
   long id() {
@@ -53,7 +53,8 @@
   void adopt() {
     if (!hasEnded && adopted.isEmpty()) {
       adopted =
-          Optional.of(pool.adoptFromPeer(endpoint, isPrefillEnded ? 0 : promptTokens, placedNanos));
+          Optional.of(
+              pool.placedByPeers().adopt(endpoint, isPrefillEnded ? 0 : promptTokens, placedNanos));
     }
   }
 
@@ -104,7 +105,7 @@
     if (adopted.isPresent()) {
       adopted.get().end(result, nowNanos);
     } else {
-      pool.endPlacedByPeer(endpoint, result, placedNanos, nowNanos);
+      pool.placedByPeers().end(endpoint, result, placedNanos, nowNanos);
       link.end(this, new BrokerMessages.End(id, result, nanosPerUnit, pauseMillis, unsentLoad));
     }
   }
--- a/snipewick/src/main/java/org/snipewick/broker/BrokeredPlacer.java
+++ b/snipewick/src/main/java/org/snipewick/broker/BrokeredPlacer.java
@@ -17,7 +17,6 @@
 import java.util.random.RandomGenerator;
 import org.snipewick.event.EventLog;
 import org.snipewick.event.EventType;
-import org.snipewick.fleet.CandidateChoice;
 import org.snipewick.fleet.FleetMember;
 import org.snipewick.identity.InstanceId;
 import org.snipewick.identity.PoolName;
@@ -68,12 +67,10 @@
   private final EventLog events;
   private final RandomGenerator random;
   private final Broker broker;
-  private final BrokerCandidates candidates;
+  private final BrokerChoices choices;
   private final Counter brokeredRequests;
   private final Counter fallbacks;
   private final Counter unusedGrants;
-  private final Map<PoolName, CandidateChoice> choices = new HashMap<>();
-  private final Map<PoolName, InstanceId> recordedBrokers = new HashMap<>();
   private final Map<InstanceId, BrokerLink> links = new HashMap<>();
   private final Map<String, PendingRequest> pending = new HashMap<>();
   private final Map<String, BrokerLink> pendingLinks = new HashMap<>();
@@ -95,7 +92,7 @@
     this.events = requireNonNull(events, "events");
     this.random = requireNonNull(random, "random");
     this.broker = new Broker(local, timer, events, random, network::send);
-    this.candidates = new BrokerCandidates(self);
+    this.choices = new BrokerChoices(self, timer, events);
     this.brokeredRequests = metrics.counter("broker_requests");
     this.fallbacks = metrics.counter("broker_fallbacks");
     this.unusedGrants = metrics.counter("broker_unused_grants");
@@ -148,15 +145,13 @@
    * @param registered all instances, of which this one may be missing
    */
   public void setMembers(List<FleetMember> registered) {
-    candidates.setMembers(registered);
-    broker.setBrokers(candidates.domains());
+    choices.setMembers(registered);
+    broker.setBrokers(choices.candidates().domains());
     Set<InstanceId> before = members;
     Set<InstanceId> current = new HashSet<>();
     registered.forEach(member -> current.add(member.instance()));
     members = current;
     before.stream().filter(instance -> !current.contains(instance)).forEach(this::removeMember);
-    long now = timer.nanoTime();
-    choices.forEach((pool, choice) -> choice.setCandidates(candidates.of(pool), now));
   }
 
   private void removeMember(InstanceId instance) {
@@ -174,8 +169,9 @@
 
   @Override
   public void place(PoolName pool, WaitingRequest request, PlacementListener listener) {
-    InstanceId chosen = choice(pool).chosen();
+    InstanceId chosen = choices.of(pool);
     if (chosen.equals(self.instance())) {
+      BrokerCandidates candidates = choices.candidates();
       if (candidates.areShared()) {
         local.pool(pool).setBrokers(candidates.domains());
       } else {
@@ -205,16 +201,6 @@
     asked.setReplyTimer(timer.after(timeout, () -> onReplyTimeout(link, asked, dueNanos)));
   }
 
-  private CandidateChoice choice(PoolName pool) {
-    return choices.computeIfAbsent(
-        pool,
-        name -> {
-          CandidateChoice created = new CandidateChoice(self.instance(), timer.nanoTime());
-          created.setCandidates(candidates.of(name), timer.nanoTime());
-          return created;
-        });
-  }
-
   private BrokerLink link(InstanceId instance) {
     return links.computeIfAbsent(
         instance,
@@ -224,7 +210,7 @@
   /** Places a request by the queue of this instance, which the broker should have placed. */
   private void placeHere(PoolName pool, WaitingRequest request, PlacementListener listener) {
     fallbacks.inc();
-    local.pool(pool).setInstances(candidates.instances());
+    local.pool(pool).setInstances(choices.candidates().instances());
     local.place(pool, request, listener);
   }
 
@@ -274,8 +260,7 @@
       decline(link);
       return;
     }
-    long now = timer.nanoTime();
-    choices.values().forEach(choice -> choice.onAnswer(from, now));
+    choices.onReply(from);
     BrokerLink.Continuity continuity = link.onReply(reply);
     if (continuity == BrokerLink.Continuity.FORGOTTEN) {
       recordLoss(EventType.BROKER_SESSION_LOST, link, link.adoptGrants());
@@ -349,25 +334,20 @@
 
   /** Handles that a broker stops: its requests are counted here and others are asked. */
   private void decline(BrokerLink link) {
-    long now = timer.nanoTime();
     abandon(link, EventType.BROKER_SESSION_LOST);
-    choices.values().forEach(choice -> choice.replace(link.broker(), now));
+    choices.replace(link.broker());
   }
 
   private void check() {
-    long now = timer.nanoTime();
-    List.copyOf(links.values()).forEach(link -> check(link, now));
-    choices.forEach(
-        (pool, choice) -> {
-          choice.preferredToRetry(now).forEach(preferred -> link(preferred).query());
-          recordChoice(pool, choice.chosen());
-        });
+    List.copyOf(links.values()).forEach(this::check);
+    choices.preferredToRetry().forEach(preferred -> link(preferred).query());
+    choices.recordChanges();
   }
 
-  private void check(BrokerLink link, long nowNanos) {
+  private void check(BrokerLink link) {
     if (link.silentNanos() > BROKER_TIMEOUT.toNanos()) {
       abandon(link, EventType.BROKER_SILENT);
-      choices.values().forEach(choice -> choice.replace(link.broker(), nowNanos));
+      choices.replace(link.broker());
       link.suspect();
     } else if (link.silentNanos() > QUEUE_TIMEOUT.toNanos()) {
       link.suspect();
@@ -375,17 +355,15 @@
     }
     // A renewal tells the broker, once it can be reached, that it holds nothing for this instance.
     boolean isAwaited =
-        link.hasPending() || link.isRenewing() || link.isSuspected() && isChosen(link);
+        link.hasPending()
+            || link.isRenewing()
+            || link.isSuspected() && choices.isChosen(link.broker());
     Duration period = isAwaited ? QUEUE_QUERY_PERIOD : QUERY_PERIOD;
     if ((isAwaited || link.isUsed()) && link.sinceQueryNanos() >= period.toNanos()) {
       link.query();
     }
   }
 
-  private boolean isChosen(BrokerLink link) {
-    return choices.values().stream().anyMatch(choice -> choice.chosen().equals(link.broker()));
-  }
-
   /** Takes back all that a broker was asked for and has placed. */
   private void abandon(BrokerLink link, EventType cause) {
     if (!link.isUsed() && !link.hasSession()) {
@@ -402,10 +380,4 @@
   private void recordLoss(EventType cause, BrokerLink link, int adopted) {
     events.record(cause, link.broker().value(), Map.of("adopted", adopted));
   }
-
-  private void recordChoice(PoolName pool, InstanceId chosen) {
-    if (candidates.areShared() && !chosen.equals(recordedBrokers.put(pool, chosen))) {
-      events.record(EventType.BROKER_CHANGED, pool.value(), Map.of("broker", chosen.value()));
-    }
-  }
 }
--- a/snipewick/src/main/java/org/snipewick/placement/PoolPlacement.java
+++ b/snipewick/src/main/java/org/snipewick/placement/PoolPlacement.java
@@ -15,7 +15,6 @@
 import java.util.random.RandomGenerator;
 import org.snipewick.identity.EndpointId;
 import org.snipewick.identity.FailureDomain;
-import org.snipewick.identity.Tier;
 import org.snipewick.registry.RegisteredEndpoint;
 
 /**
@@ -38,6 +37,7 @@
   private final ResidenceTime residenceTime = new ResidenceTime();
   private final ReturnSchedule returns = new ReturnSchedule();
   private final TeamShares teamShares = new TeamShares();
+  private final PeerPlacements placedByPeers = new PeerPlacements(this, endpoints, residenceTime);
 
   private PoolPlacement(
       FailureDomain domain, QueueOrder order, WaitLimit waitLimit, RandomGenerator random) {
@@ -153,53 +153,12 @@
   }
 
   /**
-   * Counts a request of this instance that a peer has placed and reports as in flight.
+   * Returns the requests of this instance that peers have placed.
    *
-   * @param endpoint endpoint at which it was placed
+   * @return counts of these requests
    */
-  public void beginPlacedByPeer(EndpointId endpoint) {
-    EndpointLoad load = endpoints.get(endpoint);
-    if (load != null) {
-      load.beginPlacedByPeer();
-    }
-  }
-
-  /**
-   * Counts a request that a peer has placed as in flight from this instance, because the peer may
-   * no longer report it.
-   *
-   * @param endpoint endpoint at which it was placed
-   * @param promptTokens tokens of its prompt, 0 if its prefill has ended
-   * @param placedNanos monotonic time at which it was placed, in nanoseconds
-   * @return grant, which replaces that of the peer
-   */
-  public PlacementGrant adoptFromPeer(EndpointId endpoint, long promptTokens, long placedNanos) {
-    EndpointLoad load = endpoints.get(endpoint);
-    if (load != null) {
-      load.endPlacedByPeer();
-      load.begin(promptTokens);
-    }
-    return new LocalGrant(this, endpoint, promptTokens, placedNanos);
-  }
-
-  /**
-   * Records that a request of this instance that a peer has placed is no longer in flight.
-   *
-   * @param endpoint endpoint at which it was placed
-   * @param result how the request ended
-   * @param placedNanos monotonic time at which it was placed, in nanoseconds
-   * @param nowNanos current monotonic time, in nanoseconds
-   */
-  public void endPlacedByPeer(
-      EndpointId endpoint, AttemptResult result, long placedNanos, long nowNanos) {
-    if (result == AttemptResult.ANSWERED) {
-      residenceTime.add(nowNanos - placedNanos);
-    }
-    EndpointLoad load = endpoints.get(endpoint);
-    if (load != null) {
-      load.endPlacedByPeer();
-      load.recordResult(result, nowNanos);
-    }
+  public PeerPlacements placedByPeers() {
+    return placedByPeers;
   }
 
   /**
@@ -420,16 +379,6 @@
     return waiting.size();
   }
 
-  /**
-   * Returns the number of waiting requests in a tier or a higher one.
-   *
-   * @param tier lowest tier that counts
-   * @return waiting requests
-   */
-  public long waitingAtOrAbove(Tier tier) {
-    return waiting.stream().filter(request -> !tier.isHigherThan(request.tier())).count();
-  }
-
   /**
    * Returns whether the pool has an endpoint that is not leaving.
    *
--- a/snipewick/src/test/java/org/snipewick/broker/BrokerFleet.java
+++ b/snipewick/src/test/java/org/snipewick/broker/BrokerFleet.java
@@ -213,6 +213,16 @@
 
   /** Returns the part of the weight of all requests that was answered on time. */
   double worthServed() {
+    return worthServed(requests);
+  }
+
+  /** Returns the same of the requests that arrived in one domain. */
+  double worthServed(int domain) {
+    return worthServed(
+        requests.stream().filter(each -> each.process.domainIndex() == domain).toList());
+  }
+
+  private static double worthServed(List<Request> requests) {
     double all = requests.stream().mapToDouble(Request::worth).sum();
     return requests.stream().filter(Request::isOnTime).mapToDouble(Request::worth).sum() / all;
   }
--- a/snipewick/src/test/java/org/snipewick/broker/BrokeredPlacerTest.java
+++ b/snipewick/src/test/java/org/snipewick/broker/BrokeredPlacerTest.java
@@ -48,6 +48,26 @@
     assertThat(longestDecisionWithRoom(brokers)).isLessThan(Duration.ofMillis(10));
   }
 
+  /** A domain with most of the load must get its part of what the others leave. */
+  @Test
+  void shouldServeNearlyAsMuchAsOneQueueWhenDomainsAreUneven() {
+    BrokerFleet brokers = playUneven(BrokerFleet.Mode.BROKERS);
+    BrokerFleet oneQueue = playUneven(BrokerFleet.Mode.ONE_QUEUE);
+    assertThat(brokers.worthServed()).isGreaterThan(0.95 * oneQueue.worthServed());
+    for (int domain = 0; domain < BrokerFleet.DOMAINS; domain++) {
+      assertThat(brokers.worthServed(domain)).isGreaterThan(0.9 * brokers.worthServed());
+    }
+  }
+
+  private static BrokerFleet playUneven(BrokerFleet.Mode mode) {
+    BrokerFleet fleet = new BrokerFleet(mode, 59, 1);
+    fleet.addEndpoints(66, SLOTS, SPEEDS);
+    double mean = (1 + 0.5 + 0.2) / 3;
+    fleet.load(LOAD_TIME, 1.3 * 66 * SLOTS * requestsPerSlot() / mean, WORK_MILLIS, 1, 0.5, 0.2);
+    fleet.timer.advance(LOAD_TIME.plusSeconds(12));
+    return fleet;
+  }
+
   /** A failed broker must cost neither an answer nor a second sending of a request. */
   @ParameterizedTest
   @ValueSource(strings = {"death", "freeze", "long freeze", "partition", "stop"})
@@ -172,12 +192,16 @@
       BrokerFleet.Mode mode, int instances, int endpoints, double load) {
     BrokerFleet fleet = new BrokerFleet(mode, instances, 1);
     fleet.addEndpoints(endpoints, SLOTS, SPEEDS);
-    double requestsPerSlot = 0;
+    fleet.load(LOAD_TIME, load * endpoints * SLOTS * requestsPerSlot(), WORK_MILLIS, 1);
+    return fleet;
+  }
+
+  private static double requestsPerSlot() {
+    double sum = 0;
     for (double speed : SPEEDS) {
-      requestsPerSlot += 1000 / WORK_MILLIS / speed / SPEEDS.length;
+      sum += 1000 / WORK_MILLIS / speed;
     }
-    fleet.load(LOAD_TIME, load * endpoints * SLOTS * requestsPerSlot, WORK_MILLIS, 1);
-    return fleet;
+    return sum / SPEEDS.length;
   }
 
   private static void assertDecidedOnce(BrokerFleet fleet) {
