--- a/snipewick/src/main/java/org/snipewick/placement/PoolPlacement.java
+++ b/snipewick/src/main/java/org/snipewick/placement/PoolPlacement.java
@@ -5,7 +5,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
@@ -14,10 +13,8 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
-import java.util.stream.Stream;
 import org.snipewick.identity.EndpointId;
 import org.snipewick.identity.FailureDomain;
-import org.snipewick.identity.Tier;
 import org.snipewick.registry.RegisteredEndpoint;
 
 /**
@@ -26,30 +23,27 @@
  * when it has a free slot. Not thread-safe.
  */
 public final class PoolPlacement {
-  /** Prompt tokens in prefill that delay an endpoint as much as all of its slots in use. */
-  private static final double PREFILL_TOKENS_PER_FULL_LOAD = 20_000;
-
   /**
-   * Endpoints in other failure domains are chosen only if the local ones are about a third more
-   * loaded.
+   * By default, endpoints in other failure domains are chosen only if the local ones are about a
+   * third more loaded.
    */
-  private static final double REMOTE_COST_FACTOR = 1.3;
+  public static final double DEFAULT_REMOTE_COST_FACTOR = 1.3;
 
-  private final FailureDomain domain;
   private final QueueOrder order;
   private final WaitLimit waitLimit;
-  private final CandidateSample sample;
+  private final EndpointChoice choice;
   private final Map<EndpointId, EndpointLoad> endpoints = new HashMap<>();
   private final List<WaitingRequest> waiting = new ArrayList<>();
   private final ResidenceTime residenceTime = new ResidenceTime();
   private final ReturnSchedule returns = new ReturnSchedule();
+  private final TeamShares teamShares = new TeamShares();
+  private final PeerPlacements placedByPeers = new PeerPlacements(this, endpoints, residenceTime);
 
   private PoolPlacement(
       FailureDomain domain, QueueOrder order, WaitLimit waitLimit, RandomGenerator random) {
-    this.domain = requireNonNull(domain, "domain");
     this.order = requireNonNull(order, "order");
     this.waitLimit = requireNonNull(waitLimit, "waitLimit");
-    this.sample = new CandidateSample(random);
+    this.choice = new EndpointChoice(domain, random);
   }
 
   /**
@@ -72,7 +66,26 @@
    * @param count number of instances, this one included
    */
   public void setInstances(int count) {
-    sample.setInstances(count);
+    choice.setInstances(count);
+  }
+
+  /**
+   * Sets the number of brokers that choose among the endpoints, because this instance is the broker
+   * of its failure domain. Replaces {@link #setInstances}, and the reverse.
+   *
+   * @param count number of brokers, this one included
+   */
+  public void setBrokers(int count) {
+    choice.setBrokers(count);
+  }
+
+  /**
+   * Sets the price of a request to another failure domain.
+   *
+   * @param factor factor by which endpoints there cost more than local ones, at least 1
+   */
+  public void setRemoteCostFactor(double factor) {
+    choice.setRemoteCostFactor(factor);
   }
 
   /**
@@ -103,6 +116,51 @@
     waiting.add(requireNonNull(request, "request"));
   }
 
+  /**
+   * Adds a request to the queue; if this instance is a broker, behind others of its tier if its
+   * team sends more than usual.
+   *
+   * @param request request that waits
+   * @param nowNanos current monotonic time, in nanoseconds
+   */
+  public void add(WaitingRequest request, long nowNanos) {
+    add(choice.isBroker() ? teamShares.order(request, nowNanos) : request);
+  }
+
+  /**
+   * Returns the permission that belongs to a decision of this queue.
+   *
+   * @param placed decision
+   * @param nowNanos time of the decision, in monotonic nanoseconds
+   * @return grant, to be ended exactly once for each decision
+   */
+  public PlacementGrant grant(PlacementDecision.Placed placed, long nowNanos) {
+    return new LocalGrant(this, placed.endpoint().id(), placed.request().promptTokens(), nowNanos);
+  }
+
+  /**
+   * Returns the listed entry of an endpoint to which a request may be sent.
+   *
+   * @param endpoint name of the endpoint
+   * @param request request
+   * @return entry; empty if the endpoint is not listed, is leaving or has been tried
+   */
+  public Optional<RegisteredEndpoint> findAccepting(EndpointId endpoint, WaitingRequest request) {
+    return Optional.ofNullable(endpoints.get(endpoint))
+        .filter(load -> EndpointChoice.maySendTo(load, request))
+        .map(EndpointLoad::endpoint)
+        .filter(listed -> !listed.isLeaving());
+  }
+
+  /**
+   * Returns the requests of this instance that peers have placed.
+   *
+   * @return counts of these requests
+   */
+  public PeerPlacements placedByPeers() {
+    return placedByPeers;
+  }
+
   /**
    * Removes a request whose caller disconnected or whose deadline passed.
    *
@@ -125,11 +183,12 @@
     }
     List<PlacementDecision> decisions = new ArrayList<>();
     waiting.sort(order.at(nowNanos));
+    EndpointsSummary summary = new EndpointsSummary(endpoints.values(), nowNanos);
     Iterator<WaitingRequest> iterator = waiting.iterator();
     int requestsAhead = 0;
     while (iterator.hasNext()) {
       WaitingRequest request = iterator.next();
-      Optional<PlacementDecision> decision = decide(request, requestsAhead, nowNanos);
+      Optional<PlacementDecision> decision = decide(request, requestsAhead, summary, nowNanos);
       if (decision.isPresent()) {
         iterator.remove();
         decisions.add(decision.get());
@@ -141,12 +200,12 @@
   }
 
   private Optional<PlacementDecision> decide(
-      WaitingRequest request, int requestsAhead, long nowNanos) {
-    if (!hasCandidate(request)) {
+      WaitingRequest request, int requestsAhead, EndpointsSummary summary, long nowNanos) {
+    if (!summary.hasCandidate(request)) {
       return Optional.of(
           refused(request, PlacementDecision.Reason.NO_ENDPOINT, requestsAhead, nowNanos));
     }
-    long pauseNanos = shortestRequestedPauseNanos(request, nowNanos);
+    long pauseNanos = summary.shortestRequestedPauseNanos(request);
     if (pauseNanos > 0 && pauseNanos > waitLimit.maxWaitNanos(request, nowNanos)) {
       return Optional.of(
           new PlacementDecision.Refused(
@@ -155,9 +214,11 @@
               ReturnSchedule.atLeastMinimum(Duration.ofNanos(pauseNanos))));
     }
     if (requestsAhead == 0) {
-      Optional<EndpointLoad> free = chooseEndpoint(request, nowNanos);
+      Optional<EndpointLoad> free = choice.choose(endpoints.values(), request, nowNanos);
       if (free.isPresent()) {
-        return Optional.of(placed(request, free.get(), nowNanos));
+        PlacementDecision placed = placed(request, free.get(), nowNanos);
+        summary.countPlaced();
+        return Optional.of(placed);
       }
     }
     if (nowNanos - request.arrivedNanos()
@@ -165,79 +226,14 @@
       return Optional.of(
           refused(request, PlacementDecision.Reason.WAITED_TOO_LONG, requestsAhead, nowNanos));
     }
-    if (expectedWaitNanos(requestsAhead + 1) > waitLimit.maxWaitNanos(request, nowNanos)) {
+    if (expectedWaitNanos(requestsAhead + 1, summary.ownInFlight())
+        > waitLimit.maxWaitNanos(request, nowNanos)) {
       return Optional.of(
           refused(request, PlacementDecision.Reason.QUEUE_TOO_LONG, requestsAhead, nowNanos));
     }
     return Optional.empty();
   }
 
-  private boolean hasCandidate(WaitingRequest request) {
-    return endpoints.values().stream()
-        .anyMatch(load -> !load.endpoint().isLeaving() && maySendTo(load, request));
-  }
-
-  /** Returns the time until an endpoint that may run the request has not asked for a pause. */
-  private long shortestRequestedPauseNanos(WaitingRequest request, long nowNanos) {
-    return endpoints.values().stream()
-        .filter(load -> !load.endpoint().isLeaving() && maySendTo(load, request))
-        .mapToLong(load -> load.requestedPauseNanos(nowNanos))
-        .min()
-        .orElse(0);
-  }
-
-  private static boolean maySendTo(EndpointLoad load, WaitingRequest request) {
-    return !request.triedEndpoints().contains(load.endpoint().id());
-  }
-
-  /**
-   * Chooses the available endpoint with a free slot and the lowest cost, then the lowest name,
-   * among a sample of the local ones and a sample of the remote ones.
-   */
-  private Optional<EndpointLoad> chooseEndpoint(WaitingRequest request, long nowNanos) {
-    List<EndpointLoad> local = new ArrayList<>();
-    List<EndpointLoad> remote = new ArrayList<>();
-    for (EndpointLoad load : endpoints.values()) {
-      if (load.isAvailable(nowNanos) && maySendTo(load, request) && load.freeSlots(nowNanos) > 0) {
-        (isRemote(load) ? remote : local).add(load);
-      }
-    }
-    double meanNanosPerUnit = meanNanosPerUnit();
-    return Stream.concat(
-            sample.draw(local, endpoints.size()).stream(),
-            sample.draw(remote, endpoints.size()).stream())
-        .min(
-            Comparator.comparingDouble(
-                    (EndpointLoad load) -> cost(load, meanNanosPerUnit, nowNanos))
-                .thenComparing(load -> load.endpoint().id()));
-  }
-
-  /**
-   * Estimates how long an endpoint would take to finish all its work including the new request,
-   * relative to a fully loaded endpoint of mean speed; the estimate is raised for remote endpoints.
-   */
-  private double cost(EndpointLoad load, double meanNanosPerUnit, long nowNanos) {
-    double slowness = load.meanNanosPerUnit().orElse(meanNanosPerUnit) / meanNanosPerUnit;
-    double occupancy = (load.estimatedInFlight(nowNanos) + 1.0) / load.slots();
-    double prefill = load.prefillTokens() / PREFILL_TOKENS_PER_FULL_LOAD;
-    return slowness
-        * load.momentarySlowness(nowNanos)
-        * (occupancy + prefill)
-        * (isRemote(load) ? REMOTE_COST_FACTOR : 1);
-  }
-
-  /** Returns the mean over all endpoints; 1 before the first answer, when it cancels out. */
-  private double meanNanosPerUnit() {
-    return endpoints.values().stream()
-        .flatMapToDouble(load -> load.meanNanosPerUnit().stream())
-        .average()
-        .orElse(1);
-  }
-
-  private boolean isRemote(EndpointLoad load) {
-    return !load.endpoint().domain().equals(domain);
-  }
-
   private PlacementDecision placed(WaitingRequest request, EndpointLoad load, long nowNanos) {
     int inFlight = load.estimatedInFlight(nowNanos);
     load.begin(request.promptTokens());
@@ -254,15 +250,18 @@
    * instance has in flight are assumed to end at an even rate, each after the mean residence time.
    * Returns 0 before the first answer.
    */
-  private double expectedWaitNanos(int slots) {
-    int inFlight = endpoints.values().stream().mapToInt(EndpointLoad::inFlight).sum();
+  private double expectedWaitNanos(int slots, int inFlight) {
     return residenceTime.meanNanos().orElse(0) * slots / Math.max(1, inFlight);
   }
 
   /** Returns the time at which a refused request may return, and books a slot for it. */
   private Duration retryAfter(int requestsAhead, long nowNanos) {
+    int inFlight = endpoints.values().stream().mapToInt(EndpointLoad::ownInFlight).sum();
     return ReturnSchedule.atLeastMinimum(
-        returns.book(expectedWaitNanos(requestsAhead + 1), expectedWaitNanos(1), nowNanos));
+        returns.book(
+            expectedWaitNanos(requestsAhead + 1, inFlight),
+            expectedWaitNanos(1, inFlight),
+            nowNanos));
   }
 
   /**
@@ -308,7 +307,8 @@
     }
     EndpointLoad load = endpoints.get(endpoint);
     if (load != null) {
-      load.end(result, nowNanos);
+      load.end();
+      load.recordResult(result, nowNanos);
     }
   }
 
@@ -351,6 +351,7 @@
     endpoints.forEach(
         (id, load) ->
             load.setPeersInFlight(inFlight.getOrDefault(id, 0), isComplete, validUntilNanos));
+    choice.onPeersInFlight();
   }
 
   /**
@@ -378,16 +379,6 @@
     return waiting.size();
   }
 
-  /**
-   * Returns the number of waiting requests in a tier or a higher one.
-   *
-   * @param tier lowest tier that counts
-   * @return waiting requests
-   */
-  public long waitingAtOrAbove(Tier tier) {
-    return waiting.stream().filter(request -> !tier.isHigherThan(request.tier())).count();
-  }
-
   /**
    * Returns whether the pool has an endpoint that is not leaving.
    *
