Share reads of the store in large fleets

The number of calls to the store grew with the instances: each polled four tables by itself. In a domain of more than 4 instances within a fleet of more than 16, selected readers now poll the store, and the others long-poll a reader through store.TableFeed, whose responses carry the moment as of which they are current. A follower calls the store itself before its proof gets too old.

--- a/snipewick/src/main/java/org/snipewick/event/EventType.java
+++ b/snipewick/src/main/java/org/snipewick/event/EventType.java
@@ -88,6 +88,12 @@
   PART_RELEASED(409, Level.INFO, "prompt part released"),
   /** An endpoint named the rate of requests that it takes, changed it, or no longer names one. */
   ENDPOINT_LIMITED(410, Level.INFO, "endpoint limited"),
+  /** The instances that read the store for this failure domain changed, or the part of this one. */
+  STORE_READERS_CHANGED(415, Level.INFO, "store readers changed"),
+  /** A reader of the store did not serve this instance as agreed; others are used until it does. */
+  STORE_READER_SUSPENDED(416, Level.INFO, "store reader suspended"),
+  /** A suspended reader of the store serves this instance again. */
+  STORE_READER_RESUMED(417, Level.INFO, "store reader resumed"),
   /** The platform no longer responds. */
   PLATFORM_LOST(500, Level.WARNING, "platform unavailable"),
   /** The platform responds again. */
--- a/snipewick/src/main/java/org/snipewick/platform/FrontProcess.java
+++ b/snipewick/src/main/java/org/snipewick/platform/FrontProcess.java
@@ -18,6 +18,9 @@
 import org.snipewick.failure.Failure;
 import org.snipewick.failure.FailureException;
 import org.snipewick.failure.FailureType;
+import org.snipewick.feed.FeedMessages;
+import org.snipewick.feed.FeedSchedule;
+import org.snipewick.feed.SharedReads;
 import org.snipewick.fleet.Fleet;
 import org.snipewick.fleet.FleetMember;
 import org.snipewick.fleet.FleetMessages;
@@ -81,19 +84,25 @@
    */
   private static final Duration MAX_WATCH_WAIT = Duration.ofSeconds(2);
 
-  private static final PollSchedule CONFIGURATION_POLLS =
-      new PollSchedule(MAX_WATCH_WAIT, Duration.ZERO);
+  /**
+   * The wait of a reader is half as long as that of other instances: its proof is up to two waits
+   * old, and followers are to keep theirs within about three seconds.
+   */
+  private static final FeedSchedule CONFIGURATION_POLLS =
+      new FeedSchedule(new PollSchedule(MAX_WATCH_WAIT, Duration.ZERO), Duration.ofSeconds(1));
 
-  private static final PollSchedule ENDPOINT_POLLS =
-      new PollSchedule(MAX_WATCH_WAIT, Duration.ofMillis(500));
+  private static final FeedSchedule ENDPOINT_POLLS =
+      new FeedSchedule(new PollSchedule(MAX_WATCH_WAIT, Duration.ofMillis(500)), MAX_WATCH_WAIT);
 
   /** Crashes of endpoints come in series, which all instances record at about the same time. */
-  private static final PollSchedule QUARANTINE_POLLS =
-      new PollSchedule(Duration.ofSeconds(3), Duration.ofMillis(400));
+  private static final FeedSchedule QUARANTINE_POLLS =
+      new FeedSchedule(
+          new PollSchedule(Duration.ofSeconds(3), Duration.ofMillis(400)), Duration.ofSeconds(3));
 
   /** Late news of a peer delay nothing but the exchange of reports with it. */
-  private static final PollSchedule INSTANCE_POLLS =
-      new PollSchedule(Duration.ofSeconds(10), Duration.ofSeconds(2));
+  private static final FeedSchedule INSTANCE_POLLS =
+      new FeedSchedule(
+          new PollSchedule(Duration.ofSeconds(10), Duration.ofSeconds(2)), Duration.ofSeconds(10));
 
   /**
    * Time by which the maximum age of a proof that the configuration is current is shorter than the
@@ -129,6 +138,7 @@
   private final SystemTimerService peerTimer = SystemTimerService.of("peers-timer");
   private final RelayServer relay;
   private final EndpointRegistry registry;
+  private final SharedReads sharedReads;
   private final CountDownLatch stopped = new CountDownLatch(1);
   private boolean isStopping;
 
@@ -160,6 +170,7 @@
     relay.onDepartureAnnounced(registry::onDepartureAnnounced);
     PrometheusText prometheus = PrometheusText.of(metrics);
     HealthServer.listen(eventloop, settings.health(), this::isReady, prometheus::write);
+    sharedReads = SharedReads.of(store, timer, events, metrics);
     startMirrors(store);
   }
 
@@ -204,13 +215,12 @@
 
   private void startMirrors(SingleAttemptStore store) {
     ConfigurationListener configuration = new ConfigurationListener(plans, events);
-    startMirror(store, CONFIGURATION_TABLE, CONFIGURATION_POLLS, configuration);
+    startMirror(CONFIGURATION_TABLE, CONFIGURATION_POLLS, configuration);
     startMirror(
-        store,
         PlatformStoreAdapter.ENDPOINT_TABLE,
         ENDPOINT_POLLS,
         new EndpointRowListener(registry, events));
-    startMirror(store, Quarantine.TABLE, QUARANTINE_POLLS, quarantine);
+    startMirror(Quarantine.TABLE, QUARANTINE_POLLS, quarantine);
     FleetMember self = new FleetMember(settings.instance(), settings.domain(), settings.peers());
     CompletableFuture<Void> unused =
         InstanceRegistration.start(store, self, timer, events, new SplittableRandom())
@@ -221,9 +231,15 @@
     return plans.current().map(plan -> plan.quotaOf(team)).orElse(TeamQuota.UNLIMITED);
   }
 
-  private void startMirror(
-      SingleAttemptStore store, String table, PollSchedule schedule, MirrorListener listener) {
-    TableMirror.start(store, table, schedule, timer, events, new SplittableRandom(), listener);
+  private void startMirror(String table, FeedSchedule schedule, MirrorListener listener) {
+    TableMirror.start(
+        sharedReads.feed(table, schedule),
+        table,
+        schedule.polls().withoutPause(),
+        timer,
+        events,
+        new SplittableRandom(),
+        listener);
   }
 
   /** Connects to the peers once the store has assigned this process its incarnation. */
@@ -237,14 +253,18 @@
             settings.instance(),
             incarnation,
             settings.peers(),
-            PeerCodec.ofAll(FleetMessages.MESSAGE_TYPES, QuotaMessages.MESSAGE_TYPES),
+            PeerCodec.ofAll(
+                FleetMessages.MESSAGE_TYPES,
+                QuotaMessages.MESSAGE_TYPES,
+                FeedMessages.MESSAGE_TYPES),
             peerTimer,
             events,
             new SplittableRandom());
     quotas.join(network, eventloop, store, store, incarnation);
-    PeerReports reports = new PeerReports(self, quotas, relay);
+    sharedReads.join(network, eventloop);
+    PeerReports reports = new PeerReports(self, quotas, relay, sharedReads);
     Fleet fleet = Fleet.start(self, network, eventloop, timer, events, reports::report, reports);
-    startMirror(store, FleetMember.TABLE, INSTANCE_POLLS, fleet);
+    startMirror(FleetMember.TABLE, INSTANCE_POLLS, fleet);
     configuration.setProofExchange(
         ProofExchange.start(
             network, eventloop, timer, plans, fleet::peers, new SplittableRandom()));
--- a/snipewick/src/main/java/org/snipewick/platform/PeerReports.java
+++ b/snipewick/src/main/java/org/snipewick/platform/PeerReports.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.snipewick.feed.SharedReads;
 import org.snipewick.fleet.Fleet;
 import org.snipewick.fleet.FleetMember;
 import org.snipewick.fleet.FleetMessages;
@@ -18,16 +19,21 @@
 import org.snipewick.quota.TeamQuotas;
 import org.snipewick.relay.RelayServer;
 
-/** Reports held slots and requests in flight to the peers, and applies the sums over the peers. */
+/**
+ * Reports held slots and requests in flight to the peers, and applies the sums over the peers and
+ * their registrations.
+ */
 final class PeerReports implements Fleet.Listener {
   private final FleetMember self;
   private final TeamQuotas quotas;
   private final RelayServer relay;
+  private final SharedReads sharedReads;
 
-  PeerReports(FleetMember self, TeamQuotas quotas, RelayServer relay) {
+  PeerReports(FleetMember self, TeamQuotas quotas, RelayServer relay, SharedReads sharedReads) {
     this.self = requireNonNull(self, "self");
     this.quotas = requireNonNull(quotas, "quotas");
     this.relay = requireNonNull(relay, "relay");
+    this.sharedReads = requireNonNull(sharedReads, "sharedReads");
   }
 
   /** Returns the report of this instance. */
@@ -45,6 +51,7 @@
     Set<InstanceId> instances = new HashSet<>();
     members.forEach(member -> instances.add(member.instance()));
     relay.setPeers(instances);
+    sharedReads.setPeers(self, members);
   }
 
   @Override
--- a/snipewick/src/main/java/org/snipewick/store/MirrorListener.java
+++ b/snipewick/src/main/java/org/snipewick/store/MirrorListener.java
@@ -9,19 +9,21 @@
   /**
    * Receives all rows of the table, which replace those received before.
    *
-   * @param rows each row as of {@code sentAt} or a little later, as several calls may be needed
-   * @param sentAt time at which the first call for them was sent; the rows are at least as recent
+   * @param rows each row as of {@code provenAt} or a little later, as several calls may be needed
+   * @param provenAt moment at or before which the store was asked for them; the rows are at least
+   *     as recent
    */
-  void onRows(List<TableRow> rows, Moment sentAt);
+  void onRows(List<TableRow> rows, Moment provenAt);
 
   /**
    * Receives changes since the last call. If there are none, the rows received before are still
    * current.
    *
    * @param changes changes in order; may be empty
-   * @param sentAt time at which the call for them was sent; the rows are current as of then
+   * @param provenAt moment at or before which the store was asked for them; the rows are current as
+   *     of then
    */
-  void onChanges(RowChanges.Delta changes, Moment sentAt);
+  void onChanges(RowChanges.Delta changes, Moment provenAt);
 
   /**
    * Called when the table can no longer be read; the rows received before remain the latest known.
--- a/snipewick/src/main/java/org/snipewick/store/PollSchedule.java
+++ b/snipewick/src/main/java/org/snipewick/store/PollSchedule.java
@@ -27,4 +27,13 @@
       throw new IllegalArgumentException("durations must not be negative");
     }
   }
+
+  /**
+   * Returns this schedule without the pause.
+   *
+   * @return schedule with the same wait, for a feed that keeps the pause itself
+   */
+  public PollSchedule withoutPause() {
+    return new PollSchedule(maxWait, Duration.ZERO);
+  }
 }
--- a/snipewick/src/main/java/org/snipewick/store/TableMirror.java
+++ b/snipewick/src/main/java/org/snipewick/store/TableMirror.java
@@ -11,7 +11,6 @@
 import org.snipewick.event.EventLog;
 import org.snipewick.event.EventType;
 import org.snipewick.failure.FailureException;
-import org.snipewick.time.Moment;
 import org.snipewick.time.TimerService;
 
 /**
@@ -33,7 +32,7 @@
   private static final int MAX_DOUBLINGS = 4;
   private static final long NO_VERSION = -1;
 
-  private final TableReader reader;
+  private final TableFeed feed;
   private final String table;
   private final PollSchedule schedule;
   private final TimerService timer;
@@ -45,14 +44,14 @@
   private boolean closed;
 
   private TableMirror(
-      TableReader reader,
+      TableFeed feed,
       String table,
       PollSchedule schedule,
       TimerService timer,
       EventLog events,
       RandomGenerator random,
       MirrorListener listener) {
-    this.reader = requireNonNull(reader, "reader");
+    this.feed = requireNonNull(feed, "feed");
     this.table = requireNonNull(table, "table");
     this.schedule = requireNonNull(schedule, "schedule");
     this.timer = requireNonNull(timer, "timer");
@@ -62,7 +61,7 @@
   }
 
   /**
-   * Starts to read a table and to follow its changes.
+   * Starts to read a table from the store and to follow its changes there.
    *
    * @param reader access to the store
    * @param table name of the table
@@ -81,7 +80,31 @@
       EventLog events,
       RandomGenerator random,
       MirrorListener listener) {
-    TableMirror mirror = new TableMirror(reader, table, schedule, timer, events, random, listener);
+    TableFeed feed = TableFeed.of(reader, table, timer);
+    return start(feed, table, schedule, timer, events, random, listener);
+  }
+
+  /**
+   * Starts to read a table and to follow its changes.
+   *
+   * @param feed source of the rows and changes
+   * @param table name of the table
+   * @param schedule times of the polls
+   * @param timer clock and timer of the backoff
+   * @param events log that records when the table becomes unreadable and readable again
+   * @param random source of the backoff's jitter
+   * @param listener receives rows, changes and failures
+   * @return running mirror
+   */
+  public static TableMirror start(
+      TableFeed feed,
+      String table,
+      PollSchedule schedule,
+      TimerService timer,
+      EventLog events,
+      RandomGenerator random,
+      MirrorListener listener) {
+    TableMirror mirror = new TableMirror(feed, table, schedule, timer, events, random, listener);
     mirror.sendNext();
     return mirror;
   }
@@ -95,52 +118,49 @@
     if (closed) {
       return;
     }
-    Moment sentAt = Moment.now(timer);
     if (version == NO_VERSION) {
-      readRemaining(new ArrayList<>(), Optional.empty(), NO_VERSION, sentAt);
+      readRemaining(new ArrayList<>(), Optional.empty());
     } else {
-      pollChanges(sentAt);
+      pollChanges();
     }
   }
 
-  private void readRemaining(
-      List<TableRow> rowsSoFar, Optional<String> after, long firstVersion, Moment sentAt) {
-    reader
-        .read(table, after)
+  /** Reads the rows after those of earlier pages; the first page determines version and proof. */
+  private void readRemaining(List<TableRow> rowsSoFar, Optional<Proven<RowPage>> earlierFirst) {
+    Optional<String> after = earlierFirst.map(page -> rowsSoFar.get(rowsSoFar.size() - 1).key());
+    feed.read(after)
         .whenComplete(
             (page, thrown) -> {
               if (thrown != null) {
                 onFailure(thrown);
                 return;
               }
-              rowsSoFar.addAll(page.rows());
-              long pollVersion = firstVersion == NO_VERSION ? page.version() : firstVersion;
-              if (page.isTruncated() && !page.rows().isEmpty()) {
-                String lastKey = page.rows().get(page.rows().size() - 1).key();
-                readRemaining(rowsSoFar, Optional.of(lastKey), pollVersion, sentAt);
+              rowsSoFar.addAll(page.value().rows());
+              Proven<RowPage> first = earlierFirst.orElse(page);
+              if (page.value().isTruncated() && !page.value().rows().isEmpty()) {
+                readRemaining(rowsSoFar, Optional.of(first));
                 return;
               }
-              version = pollVersion;
+              version = first.value().version();
               onSuccess();
-              notifyListener(() -> listener.onRows(List.copyOf(rowsSoFar), sentAt));
+              notifyListener(() -> listener.onRows(List.copyOf(rowsSoFar), first.provenAt()));
               sendNext();
             });
   }
 
-  private void pollChanges(Moment sentAt) {
-    reader
-        .changes(table, version, schedule.maxWait())
+  private void pollChanges() {
+    feed.changes(version, schedule.maxWait())
         .whenComplete(
             (changes, thrown) -> {
               if (thrown != null) {
                 onFailure(thrown);
-              } else if (changes instanceof RowChanges.Delta delta) {
+              } else if (changes.value() instanceof RowChanges.Delta delta) {
                 version = Math.max(version, delta.version());
                 onSuccess();
-                notifyListener(() -> listener.onChanges(delta, sentAt));
+                notifyListener(() -> listener.onChanges(delta, changes.provenAt()));
                 sendAfter(delta);
               } else {
-                onHistoryLost(((RowChanges.HistoryLost) changes).detail());
+                onHistoryLost(((RowChanges.HistoryLost) changes.value()).detail());
               }
             });
   }
--- a/snipewick/src/main/java/org/snipewick/time/Moment.java
+++ b/snipewick/src/main/java/org/snipewick/time/Moment.java
@@ -46,4 +46,28 @@
   public Moment minus(Duration duration) {
     return new Moment(monotonicNanos - duration.toNanos(), epochMillis - duration.toMillis());
   }
+
+  /**
+   * Returns the least time by which this moment may be after another one.
+   *
+   * @param other moment before or after this one
+   * @return the lesser of the differences between the readings of each clock; negative if this
+   *     moment may be before the other one
+   */
+  public Duration offsetFrom(Moment other) {
+    Duration monotonic = Duration.ofNanos(monotonicNanos - other.monotonicNanos);
+    Duration wall = Duration.ofMillis(epochMillis - other.epochMillis);
+    return monotonic.compareTo(wall) <= 0 ? monotonic : wall;
+  }
+
+  /**
+   * Returns a later moment, or an earlier one if the duration is negative.
+   *
+   * @param duration time to add; rounded down to milliseconds for the wall clock
+   * @return moment that is later by the duration on both clocks
+   */
+  public Moment plus(Duration duration) {
+    long wallMillis = Math.floorDiv(duration.toNanos(), Duration.ofMillis(1).toNanos());
+    return new Moment(monotonicNanos + duration.toNanos(), epochMillis + wallMillis);
+  }
 }
