--- a/snipewick/src/main/java/org/snipewick/platform/PeerReports.java
+++ b/snipewick/src/main/java/org/snipewick/platform/PeerReports.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.snipewick.broker.BrokeredPlacer;
+import org.snipewick.feed.SharedReads;
 import org.snipewick.fleet.Fleet;
 import org.snipewick.fleet.FleetMember;
 import org.snipewick.fleet.FleetMessages;
@@ -19,18 +20,28 @@
 import org.snipewick.quota.TeamQuotas;
 import org.snipewick.relay.RelayServer;
 
-/** Reports held slots and requests in flight to the peers, and applies the sums over the peers. */
+/**
+ * Reports held slots and requests in flight to the peers, and applies the sums over the peers and
+ * their registrations.
+ */
 final class PeerReports implements Fleet.Listener {
   private final FleetMember self;
   private final TeamQuotas quotas;
   private final RelayServer relay;
   private final BrokeredPlacer placer;
+  private final SharedReads sharedReads;
 
-  PeerReports(FleetMember self, TeamQuotas quotas, RelayServer relay, BrokeredPlacer placer) {
+  PeerReports(
+      FleetMember self,
+      TeamQuotas quotas,
+      RelayServer relay,
+      BrokeredPlacer placer,
+      SharedReads sharedReads) {
     this.self = requireNonNull(self, "self");
     this.quotas = requireNonNull(quotas, "quotas");
     this.relay = requireNonNull(relay, "relay");
     this.placer = requireNonNull(placer, "placer");
+    this.sharedReads = requireNonNull(sharedReads, "sharedReads");
   }
 
   /** Returns the report of this instance. */
@@ -49,6 +60,7 @@
     members.forEach(member -> instances.add(member.instance()));
     relay.setPeers(instances);
     placer.setMembers(all);
+    sharedReads.setPeers(self, members);
   }
 
   @Override
