Read the era of the store and let it travel with versions

A store that is restored from an older copy goes back in its versions and assigns them again, so that a version alone no longer identifies a state. The header Store-Era of each response is now decoded by the store client; pages, changes and results of writes carry it, responses of an earlier era than the newest seen are dropped, and mirrors and cached tables read all rows again when it changes. Stores that send no such header have one era and are served as before.

--- a/snipewick/src/main/java/org/snipewick/event/EventType.java
+++ b/snipewick/src/main/java/org/snipewick/event/EventType.java
@@ -116,6 +116,10 @@
   TABLE_HISTORY_LOST(511, Level.INFO, "table history lost"),
   /** A row of the store could not be parsed and was ignored. */
   ROW_MALFORMED(512, Level.WARNING, "row malformed"),
+  /** The store was restored from an older copy; its latest writes are lost. */
+  STORE_ERA_CHANGED(513, Level.WARNING, "store restored from older copy"),
+  /** A response of the store names an invalid era and counts as one that names none. */
+  STORE_ERA_INVALID(514, Level.WARNING, "store era invalid"),
   /** A peer connection failed or sent a malformed frame. */
   PEER_FAILED(600, Level.WARNING, "peer connection failed"),
   /** An error was caught that is a defect of the program. */
--- a/snipewick/src/main/java/org/snipewick/platform/FrontProcess.java
+++ b/snipewick/src/main/java/org/snipewick/platform/FrontProcess.java
@@ -38,6 +38,7 @@
 import org.snipewick.relay.RelayServer;
 import org.snipewick.route.PlanController;
 import org.snipewick.route.TeamQuota;
+import org.snipewick.store.EraTracker;
 import org.snipewick.store.MirrorListener;
 import org.snipewick.store.PollSchedule;
 import org.snipewick.store.TableMirror;
@@ -122,6 +123,7 @@
   private final TimerService timer;
   private final Timeline events;
   private final MetricRegistry metrics = new MetricRegistry();
+  private final EraTracker eras;
   private final PlanController plans;
   private final TeamQuotas quotas;
   private final MemoryAccount memory;
@@ -143,11 +145,18 @@
     quotas =
         TeamQuotas.of(
             settings.instance(), settings.quotas(), this::quotaOf, timer, events, metrics);
+    eras = EraTracker.of(timer, events);
     HttpTransport transport = HttpTransport.of(eventloop, CONNECT_TIMEOUT, MAX_BODY_BYTES);
     SingleAttemptStore store =
         SingleAttemptStore.of(
             StoreClient.of(
-                eventloop, Runnable::run, transport, settings.store(), STORE_TIMEOUT, () -> {}));
+                eventloop,
+                Runnable::run,
+                transport,
+                settings.store(),
+                STORE_TIMEOUT,
+                eras,
+                () -> {}));
     memory =
         MemoryAccount.of(
             Runtime.getRuntime().maxMemory() / HEAP_DIVISOR_FOR_KEPT_BYTES,
--- a/snipewick/src/main/java/org/snipewick/platform/PlatformStoreAdapter.java
+++ b/snipewick/src/main/java/org/snipewick/platform/PlatformStoreAdapter.java
@@ -4,8 +4,10 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import org.snipewick.event.EventLog;
 import org.snipewick.fleet.FleetMember;
 import org.snipewick.registry.RegisteredEndpoint;
+import org.snipewick.store.EraTracker;
 import org.snipewick.store.ListedInstance;
 import org.snipewick.store.TableRow;
 import org.snipewick.store.access.StoreAdapter;
@@ -45,6 +47,7 @@
             HttpTransport.of(eventloop, timeout, MAX_BODY_BYTES),
             new InetSocketAddress(settings.host(), settings.port()),
             timeout,
+            EraTracker.of(EventloopTimerService.of(eventloop), EventLog.none()),
             eventloop::breakEventloop);
     Thread thread = new Thread(eventloop, "store");
     thread.setDaemon(true);
--- a/snipewick/src/main/java/org/snipewick/platform/StoreClient.java
+++ b/snipewick/src/main/java/org/snipewick/platform/StoreClient.java
@@ -3,6 +3,7 @@
 import static java.util.Objects.requireNonNull;
 
 import io.activej.eventloop.Eventloop;
+import io.activej.http.HttpHeader;
 import io.activej.http.HttpHeaders;
 import io.activej.http.HttpRequest;
 import io.activej.http.HttpResponse;
@@ -15,6 +16,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.function.Supplier;
+import org.snipewick.store.EraTracker;
 import org.snipewick.store.RowChanges;
 import org.snipewick.store.RowPage;
 import org.snipewick.store.Write;
@@ -35,6 +37,9 @@
   /** Maximum size of a response body; a call with a larger response fails. */
   private static final int MAX_RESPONSE_BYTES = 16 * 1024 * 1024;
 
+  /** Number of the store's history, which rises each time the store returns from an older copy. */
+  private static final HttpHeader ERA = HttpHeaders.of("Store-Era");
+
   private static final int OK = 200;
   private static final int FIRST_REDIRECTION = 300;
   private static final int FIRST_CLIENT_ERROR = 400;
@@ -50,6 +55,7 @@
   private final TimerService timer;
   private final String address;
   private final Duration timeout;
+  private final EraTracker eras;
   private final Runnable onClose;
 
   private StoreClient(
@@ -58,10 +64,12 @@
       HttpTransport transport,
       InetSocketAddress address,
       Duration timeout,
+      EraTracker eras,
       Runnable onClose) {
     this.loopExecutor = requireNonNull(loopExecutor, "loopExecutor");
     this.transport = requireNonNull(transport, "transport");
     this.timeout = requireNonNull(timeout, "timeout");
+    this.eras = requireNonNull(eras, "eras");
     this.onClose = requireNonNull(onClose, "onClose");
     this.timer = EventloopTimerService.of(eventloop);
     this.address = "http://" + address.getHostString() + ":" + address.getPort();
@@ -77,6 +85,7 @@
    * @param address address of the store
    * @param timeout maximum time until the response of a call is complete, in addition to the time
    *     for which the store may wait for changes
+   * @param eras receives the era of each response; responses of an earlier era are dropped
    * @param onClose task that runs on the event loop when the client is closed
    * @return client
    */
@@ -86,11 +95,12 @@
       HttpTransport transport,
       InetSocketAddress address,
       Duration timeout,
+      EraTracker eras,
       Runnable onClose) {
-    return new StoreClient(eventloop, loopExecutor, transport, address, timeout, onClose);
+    return new StoreClient(eventloop, loopExecutor, transport, address, timeout, eras, onClose);
   }
 
-  private record Response(int status, byte[] body) {}
+  private record Response(int status, byte[] body, long era) {}
 
   /** Decodes a response whose status is 2xx or the additional status of the call. */
   @FunctionalInterface
@@ -101,7 +111,9 @@
   @Override
   public CompletableFuture<StoreResult<RowPage>> rows(RowRange range) {
     return get(
-        StoreFormat.pathOfRows(range), timeout, response -> StoreFormat.page(response.body()));
+        StoreFormat.pathOfRows(range),
+        timeout,
+        response -> StoreFormat.page(response.body(), response.era()));
   }
 
   @Override
@@ -114,7 +126,7 @@
         response ->
             response.status() == GONE
                 ? new RowChanges.HistoryLost("store no longer keeps the changes since that version")
-                : StoreFormat.changes(response.body()),
+                : StoreFormat.changes(response.body(), response.era()),
         GONE);
   }
 
@@ -125,8 +137,8 @@
         StoreFormat.transaction(table, writes),
         response ->
             response.status() == PRECONDITION_FAILED
-                ? StoreFormat.conflict(response.body())
-                : StoreFormat.committed(response.body()),
+                ? StoreFormat.conflict(response.body(), response.era())
+                : StoreFormat.committed(response.body(), response.era()),
         PRECONDITION_FAILED);
   }
 
@@ -214,7 +226,7 @@
             });
     transport
         .send(request, exchange)
-        .then(StoreClient::readBody)
+        .then(this::readBody)
         .run(
             (response, thrown) -> {
               timeoutTimer.cancel();
@@ -225,17 +237,23 @@
             });
   }
 
-  private static Promise<Response> readBody(HttpResponse response) {
+  private Promise<Response> readBody(HttpResponse response) {
     int status = response.getCode();
-    return response.loadBody(MAX_RESPONSE_BYTES).map(body -> new Response(status, body.getArray()));
+    long era = eras.decode(response.getHeader(ERA));
+    return response
+        .loadBody(MAX_RESPONSE_BYTES)
+        .map(body -> new Response(status, body.getArray(), era));
   }
 
   private static <T> StoreResult<T> lostOrNotSent(Exchange exchange, String detail) {
     return exchange.mayHaveBeenSent() ? StoreResult.lost(detail) : StoreResult.notSent(detail);
   }
 
-  private static <T> StoreResult<T> toStoreResult(
+  private <T> StoreResult<T> toStoreResult(
       Response response, Decoder<T> decoder, int additionalStatus) {
+    if (!eras.observe(response.era())) {
+      return StoreResult.lost("response of era " + response.era() + " of the store came too late");
+    }
     int status = response.status();
     if (status == additionalStatus || (status >= OK && status < FIRST_REDIRECTION)) {
       try {
--- a/snipewick/src/main/java/org/snipewick/platform/StoreFormat.java
+++ b/snipewick/src/main/java/org/snipewick/platform/StoreFormat.java
@@ -95,25 +95,25 @@
     return version.longValue();
   }
 
-  static TransactionResult committed(byte[] body) throws IOException {
-    return new TransactionResult.Committed(version(body));
+  static TransactionResult committed(byte[] body, long era) throws IOException {
+    return new TransactionResult.Committed(version(body), era);
   }
 
   /** Decodes the response to a transaction that was refused because a row had another version. */
-  static TransactionResult conflict(byte[] body) throws IOException {
-    return new TransactionResult.Conflict(rowsOf(root(body)));
+  static TransactionResult conflict(byte[] body, long era) throws IOException {
+    return new TransactionResult.Conflict(rowsOf(root(body)), era);
   }
 
-  static RowPage page(byte[] body) throws IOException {
+  static RowPage page(byte[] body, long era) throws IOException {
     JsonNode root = root(body);
-    return new RowPage(rowsOf(root), version(body), root.path("truncated").asBoolean());
+    return new RowPage(rowsOf(root), version(body), root.path("truncated").asBoolean(), era);
   }
 
   /**
    * Decodes changes of the rows whose "part" is empty; the store reports those of all parts. If a
    * row was changed several times, its last change is returned.
    */
-  static RowChanges changes(byte[] body) throws IOException {
+  static RowChanges changes(byte[] body, long era) throws IOException {
     List<TableRow> written = new ArrayList<>();
     List<String> removed = new ArrayList<>();
     for (JsonNode change : rowNodes(root(body))) {
@@ -129,7 +129,7 @@
         written.add(decodeRow(change));
       }
     }
-    return new RowChanges.Delta(written, removed, version(body));
+    return new RowChanges.Delta(written, removed, version(body), era);
   }
 
   static List<String> objectNames(byte[] body) throws IOException {
--- a/snipewick/src/main/java/org/snipewick/store/MirrorListener.java
+++ b/snipewick/src/main/java/org/snipewick/store/MirrorListener.java
@@ -28,6 +28,12 @@
    */
   default void onUnavailable() {}
 
+  /**
+   * Called before the rows of a new era of the store are received: it was restored from an older
+   * copy, and rows that are missing or older than those received before may have been lost.
+   */
+  default void onNewEra() {}
+
   /** Called when the table can be read again. */
   default void onAvailableAgain() {}
 }
--- a/snipewick/src/main/java/org/snipewick/store/RowChanges.java
+++ b/snipewick/src/main/java/org/snipewick/store/RowChanges.java
@@ -14,8 +14,9 @@
    *     writes
    * @param removedKeys keys of rows that were deleted, in order of the deletions
    * @param version version of the store up to which the changes are complete
+   * @param era era of the store in which the version counts; see {@link EraTracker}
    */
-  record Delta(List<TableRow> written, List<String> removedKeys, long version)
+  record Delta(List<TableRow> written, List<String> removedKeys, long version, long era)
       implements RowChanges {
 
     /** Copies the lists. */
@@ -23,6 +24,17 @@
       written = List.copyOf(written);
       removedKeys = List.copyOf(removedKeys);
     }
+
+    /**
+     * Creates changes of a store that names no era.
+     *
+     * @param written rows that were inserted or replaced
+     * @param removedKeys keys of rows that were deleted
+     * @param version version of the store up to which the changes are complete
+     */
+    public Delta(List<TableRow> written, List<String> removedKeys, long version) {
+      this(written, removedKeys, version, EraTracker.NO_ERA);
+    }
   }
 
   /**
--- a/snipewick/src/main/java/org/snipewick/store/RowPage.java
+++ b/snipewick/src/main/java/org/snipewick/store/RowPage.java
@@ -8,14 +8,26 @@
  * @param rows rows in ascending order of their keys
  * @param version version of the store at which they were read
  * @param isTruncated whether the range has further rows with higher keys
+ * @param era era of the store, within which versions can be compared; see {@link EraTracker}
  */
-public record RowPage(List<TableRow> rows, long version, boolean isTruncated) {
+public record RowPage(List<TableRow> rows, long version, boolean isTruncated, long era) {
 
   /** Copies the rows. */
   public RowPage {
     rows = List.copyOf(rows);
   }
 
+  /**
+   * Creates a page of a store that names no era.
+   *
+   * @param rows rows in ascending order of their keys
+   * @param version version of the store at which they were read
+   * @param isTruncated whether the range has further rows with higher keys
+   */
+  public RowPage(List<TableRow> rows, long version, boolean isTruncated) {
+    this(rows, version, isTruncated, EraTracker.NO_ERA);
+  }
+
   /**
    * Returns this page without one row.
    *
@@ -24,6 +36,6 @@
    */
   public RowPage withoutRow(String key) {
     List<TableRow> others = rows.stream().filter(row -> !row.key().equals(key)).toList();
-    return new RowPage(others, version, isTruncated);
+    return new RowPage(others, version, isTruncated, era);
   }
 }
--- a/snipewick/src/main/java/org/snipewick/store/TableMirror.java
+++ b/snipewick/src/main/java/org/snipewick/store/TableMirror.java
@@ -10,7 +10,9 @@
 import java.util.random.RandomGenerator;
 import org.snipewick.event.EventLog;
 import org.snipewick.event.EventType;
+import org.snipewick.failure.Failure;
 import org.snipewick.failure.FailureException;
+import org.snipewick.failure.FailureType;
 import org.snipewick.time.Moment;
 import org.snipewick.time.TimerService;
 
@@ -18,8 +20,9 @@
  * Mirror of a table of the store, which passes all rows and then each change to a listener. It
  * polls for the changes. Each poll waits only a short time, because a connection that has failed
  * without notice is detected only when a call on it times out. No change between the read of all
- * rows and the first poll is lost, as polling starts at the version of the first page. Not
- * thread-safe: to be used on the thread on which the reader's futures complete.
+ * rows and the first poll is lost, as polling starts at the version of the first page. In a new era
+ * of the store, all rows are read again. Not thread-safe: to be used on the thread on which the
+ * reader's futures complete.
  */
 public final class TableMirror {
   private static final long BASE_BACKOFF_MILLIS = 50;
@@ -41,6 +44,7 @@
   private final RandomGenerator random;
   private final MirrorListener listener;
   private long version = NO_VERSION;
+  private Optional<Long> era = Optional.empty();
   private int failures;
   private boolean closed;
 
@@ -97,14 +101,14 @@
     }
     Moment sentAt = Moment.now(timer);
     if (version == NO_VERSION) {
-      readRemaining(new ArrayList<>(), Optional.empty(), NO_VERSION, sentAt);
+      readRemaining(new ArrayList<>(), Optional.empty(), Optional.empty(), sentAt);
     } else {
       pollChanges(sentAt);
     }
   }
 
   private void readRemaining(
-      List<TableRow> rowsSoFar, Optional<String> after, long firstVersion, Moment sentAt) {
+      List<TableRow> rowsSoFar, Optional<String> after, Optional<RowPage> first, Moment sentAt) {
     reader
         .read(table, after)
         .whenComplete(
@@ -113,15 +117,24 @@
                 onFailure(thrown);
                 return;
               }
+              RowPage start = first.orElse(page);
+              if (start.era() != page.era() || page.era() < era.orElse(page.era())) {
+                onFailure(eraFailure("page of era " + page.era()));
+                return;
+              }
               rowsSoFar.addAll(page.rows());
-              long pollVersion = firstVersion == NO_VERSION ? page.version() : firstVersion;
               if (page.isTruncated() && !page.rows().isEmpty()) {
                 String lastKey = page.rows().get(page.rows().size() - 1).key();
-                readRemaining(rowsSoFar, Optional.of(lastKey), pollVersion, sentAt);
+                readRemaining(rowsSoFar, Optional.of(lastKey), Optional.of(start), sentAt);
                 return;
               }
-              version = pollVersion;
+              version = start.version();
+              boolean isNewEra = page.era() != era.orElse(page.era());
+              era = Optional.of(page.era());
               onSuccess();
+              if (isNewEra) {
+                notifyListener(listener::onNewEra);
+              }
               notifyListener(() -> listener.onRows(List.copyOf(rowsSoFar), sentAt));
               sendNext();
             });
@@ -134,6 +147,8 @@
             (changes, thrown) -> {
               if (thrown != null) {
                 onFailure(thrown);
+              } else if (changes instanceof RowChanges.Delta delta && !isOfEra(delta.era())) {
+                onHistoryLost("changes of era " + delta.era() + " instead of " + era.get());
               } else if (changes instanceof RowChanges.Delta delta) {
                 version = Math.max(version, delta.version());
                 onSuccess();
@@ -145,6 +160,15 @@
             });
   }
 
+  private boolean isOfEra(long other) {
+    return era.filter(known -> known == other).isPresent();
+  }
+
+  private static FailureException eraFailure(String detail) {
+    return Failure.notRun(FailureType.PLATFORM_UNAVAILABLE, detail + " while reading another one")
+        .toException();
+  }
+
   private void sendAfter(RowChanges.Delta delta) {
     boolean isEmpty = delta.written().isEmpty() && delta.removedKeys().isEmpty();
     if (isEmpty || schedule.pauseAfterChange().isZero()) {
--- a/snipewick/src/main/java/org/snipewick/store/WriteResult.java
+++ b/snipewick/src/main/java/org/snipewick/store/WriteResult.java
@@ -11,20 +11,42 @@
    * The write took effect.
    *
    * @param version version of the row after the write
+   * @param era era of the store in which it was applied. If the version that the write was
+   *     conditional on was read in another era, it may have replaced another row than the one read
    */
-  record Applied(long version) implements WriteResult {}
+  record Applied(long version, long era) implements WriteResult {
+
+    /**
+     * Creates the result of a write to a store that names no era.
+     *
+     * @param version version of the row after the write
+     */
+    public Applied(long version) {
+      this(version, EraTracker.NO_ERA);
+    }
+  }
 
   /**
    * The condition did not hold, and nothing was written.
    *
    * @param current the current row; empty if it does not exist
+   * @param era era of the store in which the row has its version
    */
-  record Conflict(Optional<Row> current) implements WriteResult {
+  record Conflict(Optional<Row> current, long era) implements WriteResult {
 
     /** Checks that the row is not null. */
     public Conflict {
       requireNonNull(current, "current");
     }
+
+    /**
+     * Creates the result of a write to a store that names no era.
+     *
+     * @param current the current row; empty if it does not exist
+     */
+    public Conflict(Optional<Row> current) {
+      this(current, EraTracker.NO_ERA);
+    }
   }
 
   /**
--- a/snipewick/src/main/java/org/snipewick/store/access/CachedTable.java
+++ b/snipewick/src/main/java/org/snipewick/store/access/CachedTable.java
@@ -31,7 +31,7 @@
   }
 
   /** Rows of the table at a version of the store. */
-  private record Snapshot(long version, List<TableRow> rows) {
+  private record Snapshot(long era, long version, List<TableRow> rows) {
 
     private Snapshot {
       rows = List.copyOf(rows);
@@ -39,13 +39,18 @@
 
     Snapshot withChanges(RowChanges.Delta changes) {
       if (changes.written().isEmpty() && changes.removedKeys().isEmpty()) {
-        return new Snapshot(Math.max(version, changes.version()), rows);
+        return new Snapshot(era, Math.max(version, changes.version()), rows);
       }
       TreeMap<String, TableRow> byKey = new TreeMap<>();
       rows.forEach(row -> byKey.put(row.key(), row));
       changes.removedKeys().forEach(byKey::remove);
       changes.written().forEach(row -> byKey.put(row.key(), row));
-      return new Snapshot(Math.max(version, changes.version()), List.copyOf(byKey.values()));
+      return new Snapshot(era, Math.max(version, changes.version()), List.copyOf(byKey.values()));
+    }
+
+    /** Versions of different eras are not comparable; the later era is newer. */
+    boolean isNewerThan(Snapshot other) {
+      return era == other.era ? version > other.version : era > other.era;
     }
   }
 
@@ -77,7 +82,7 @@
         .get(new ChangesQuery(calls, table, cached.version()))
         .thenCompose(
             changes ->
-                changes instanceof RowChanges.Delta delta
+                changes instanceof RowChanges.Delta delta && delta.era() == cached.era()
                     ? CompletableFuture.completedFuture(cacheIfNewest(cached.withChanges(delta)))
                     : readAll());
   }
@@ -91,7 +96,7 @@
    * any changes made between the pages.
    */
   private CompletableFuture<List<TableRow>> readRemaining(
-      RowRange range, List<TableRow> rowsSoFar, Optional<Long> firstVersion) {
+      RowRange range, List<TableRow> rowsSoFar, Optional<RowPage> first) {
     return reads
         .get(new PageQuery(calls, range))
         .thenCompose(
@@ -101,13 +106,16 @@
                       ? page
                       : page.withoutRow(rowsSoFar.get(rowsSoFar.size() - 1).key());
               rowsSoFar.addAll(newRows.rows());
-              long version = firstVersion.orElse(page.version());
+              RowPage start = first.orElse(page);
+              if (start.era() != page.era()) {
+                return readAll();
+              }
               if (page.isTruncated() && !newRows.rows().isEmpty()) {
                 String last = rowsSoFar.get(rowsSoFar.size() - 1).key();
-                return readRemaining(range.withFrom(last), rowsSoFar, Optional.of(version));
+                return readRemaining(range.withFrom(last), rowsSoFar, Optional.of(start));
               }
               return CompletableFuture.completedFuture(
-                  cacheIfNewest(new Snapshot(version, rowsSoFar)));
+                  cacheIfNewest(new Snapshot(start.era(), start.version(), rowsSoFar)));
             });
   }
 
@@ -116,9 +124,7 @@
     latest.accumulateAndGet(
         Optional.of(snapshot),
         (cached, given) ->
-            cached.filter(existing -> existing.version() > snapshot.version()).isPresent()
-                ? cached
-                : given);
+            cached.filter(existing -> existing.isNewerThan(snapshot)).isPresent() ? cached : given);
     return snapshot.rows();
   }
 }
--- a/snipewick/src/main/java/org/snipewick/store/access/SingleAttemptStore.java
+++ b/snipewick/src/main/java/org/snipewick/store/access/SingleAttemptStore.java
@@ -63,9 +63,11 @@
 
   private static WriteResult toWriteResult(StoreResult<TransactionResult> result, Write write) {
     if (result instanceof StoreResult.Succeeded<TransactionResult> succeeded) {
-      return succeeded.value() instanceof TransactionResult.Conflict conflict
-          ? new WriteResult.Conflict(rowOf(conflict, write.key()))
-          : new WriteResult.Applied(((TransactionResult.Committed) succeeded.value()).version());
+      if (succeeded.value() instanceof TransactionResult.Conflict conflict) {
+        return new WriteResult.Conflict(rowOf(conflict, write.key()), conflict.era());
+      }
+      TransactionResult.Committed committed = (TransactionResult.Committed) succeeded.value();
+      return new WriteResult.Applied(committed.version(), committed.era());
     }
     StoreResult.Failed<TransactionResult> failed = (StoreResult.Failed<TransactionResult>) result;
     return failed.hadNoEffect()
--- a/snipewick/src/main/java/org/snipewick/store/access/WriteBatcher.java
+++ b/snipewick/src/main/java/org/snipewick/store/access/WriteBatcher.java
@@ -158,7 +158,7 @@
    */
   private void onTransactionResult(List<Pending> batch, TransactionResult result) {
     if (result instanceof TransactionResult.Committed committed) {
-      complete(batch, new WriteResult.Applied(committed.version()));
+      complete(batch, new WriteResult.Applied(committed.version(), committed.era()));
       continueSending();
       return;
     }
--- a/snipewick/src/test/java/org/snipewick/platform/OddRowsTest.java
+++ b/snipewick/src/test/java/org/snipewick/platform/OddRowsTest.java
@@ -21,6 +21,7 @@
 import org.snipewick.registry.EndpointRegistry;
 import org.snipewick.registry.RegisteredEndpoint;
 import org.snipewick.route.PlanController;
+import org.snipewick.store.EraTracker;
 import org.snipewick.store.RowChanges;
 import org.snipewick.store.TableRow;
 import org.snipewick.time.Moment;
@@ -189,7 +190,7 @@
         {"ver":9,"rows":[{"table":"servers","part":"x","key":"a","removed":true},
           {"table":"servers","part":"","key":"b","value":"e30=","ver":9}]}
         """;
-    RowChanges changes = StoreFormat.changes(body.getBytes(UTF_8));
+    RowChanges changes = StoreFormat.changes(body.getBytes(UTF_8), EraTracker.NO_ERA);
     assertThat(((RowChanges.Delta) changes).removedKeys()).isEmpty();
     assertThat(((RowChanges.Delta) changes).written()).hasSize(1);
   }
--- a/snipewick/src/test/java/org/snipewick/platform/StoreClientTest.java
+++ b/snipewick/src/test/java/org/snipewick/platform/StoreClientTest.java
@@ -14,6 +14,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.snipewick.event.EventLog;
+import org.snipewick.store.EraTracker;
 import org.snipewick.store.RowPage;
 import org.snipewick.store.access.RowRange;
 import org.snipewick.store.access.StoreResult;
@@ -49,6 +51,7 @@
             HttpTransport.of(eventloop, TIMEOUT, MAX_BODY_BYTES),
             new InetSocketAddress("127.0.0.1", server.getAddress().getPort()),
             TIMEOUT,
+            EraTracker.of(EventloopTimerService.of(eventloop), EventLog.none()),
             eventloop::breakEventloop);
   }
 
