Keep all promises when the store is restored from an older copy

After a restore, versions and rows of the store that we relied on are gone, and a conditional write can succeed against another row of the same number. Leases of slots now hold only in the era in which they were confirmed; records state their era, and whoever finds one of another era waits a whole lease and counts the slot as granted, unless the holder itself continues with its ledger. Registrations and evidence are written again, incarnations include the era, endpoints are kept for the grace period, and a store with an older configuration proves nothing. The stand-in platform restores on demand.

--- a/snipewick/src/main/java/org/snipewick/fleet/Fleet.java
+++ b/snipewick/src/main/java/org/snipewick/fleet/Fleet.java
@@ -51,6 +51,7 @@
   /** Index of the candidate of each group that is tried while its collector is unknown. */
   private final Map<String, Integer> triedCandidates = new HashMap<>();
 
+  private boolean isRestored;
   private FleetGroups groups;
   private InstanceId latestCollector;
 
@@ -245,10 +246,19 @@
   public void onRows(List<TableRow> rows, Moment sentAt) {
     Set<InstanceId> missing = new HashSet<>(peers.keySet());
     rows.forEach(row -> put(row).ifPresent(missing::remove));
-    missing.forEach(this::remove);
+    if (!isRestored) {
+      missing.forEach(this::remove);
+    }
+    isRestored = false;
     onPeersChanged();
   }
 
+  /** Keeps peers whose rows were lost in a restore of the store; they write them again. */
+  @Override
+  public void onNewEra() {
+    isRestored = true;
+  }
+
   @Override
   public void onChanges(RowChanges.Delta changes, Moment sentAt) {
     changes.written().forEach(this::put);
--- a/snipewick/src/main/java/org/snipewick/platform/ConfigurationListener.java
+++ b/snipewick/src/main/java/org/snipewick/platform/ConfigurationListener.java
@@ -9,6 +9,7 @@
 import org.snipewick.event.EventType;
 import org.snipewick.fleet.ProofExchange;
 import org.snipewick.route.PlanController;
+import org.snipewick.route.RoutingPlan;
 import org.snipewick.store.MalformedRow;
 import org.snipewick.store.MirrorListener;
 import org.snipewick.store.RowChanges;
@@ -28,6 +29,9 @@
   private Optional<ProofExchange> proofExchange = Optional.empty();
   private boolean isStoreUnavailable;
 
+  /** Whether the store was restored and has not shown a configuration as new as the plan since. */
+  private boolean isStoreBehind;
+
   ConfigurationListener(PlanController plans, EventLog events) {
     this.plans = requireNonNull(plans, "plans");
     this.events = requireNonNull(events, "events");
@@ -41,6 +45,11 @@
     }
   }
 
+  @Override
+  public void onNewEra() {
+    isStoreBehind = true;
+  }
+
   @Override
   public void onUnavailable() {
     isStoreUnavailable = true;
@@ -61,7 +70,7 @@
   @Override
   public void onChanges(RowChanges.Delta changes, Moment sentAt) {
     boolean isWellFormed = changes.written().stream().allMatch(row -> applyRow(row, sentAt));
-    if (isWellFormed) {
+    if (isWellFormed && !isStoreBehind) {
       plans.confirm(sentAt);
     }
   }
@@ -76,7 +85,9 @@
       return true;
     }
     try {
-      plans.accept(PlanCodec.decode(row.value()), sentAt);
+      RoutingPlan plan = PlanCodec.decode(row.value());
+      plans.accept(plan, sentAt);
+      isStoreBehind &= plans.current().filter(now -> now.version() > plan.version()).isPresent();
       return true;
     } catch (IOException | RuntimeException malformed) {
       events.record(EventType.PLAN_MALFORMED, row.key(), MalformedRow.details(row, malformed));
--- a/snipewick/src/main/java/org/snipewick/platform/EndpointRowListener.java
+++ b/snipewick/src/main/java/org/snipewick/platform/EndpointRowListener.java
@@ -47,6 +47,11 @@
     registry.applyChanges(changed, removed);
   }
 
+  @Override
+  public void onNewEra() {
+    registry.onListRestored();
+  }
+
   @Override
   public void onUnavailable() {
     registry.onListUnavailable();
--- a/snipewick/src/main/java/org/snipewick/platform/FrontProcess.java
+++ b/snipewick/src/main/java/org/snipewick/platform/FrontProcess.java
@@ -222,7 +222,7 @@
     startMirror(store, Quarantine.TABLE, QUARANTINE_POLLS, quarantine);
     FleetMember self = new FleetMember(settings.instance(), settings.domain(), settings.peers());
     CompletableFuture<Void> unused =
-        InstanceRegistration.start(store, self, timer, events, new SplittableRandom())
+        InstanceRegistration.start(store, self, timer, events, new SplittableRandom(), eras)
             .thenAccept(incarnation -> joinFleet(self, store, incarnation, configuration));
   }
 
@@ -250,7 +250,7 @@
             peerTimer,
             events,
             new SplittableRandom());
-    quotas.join(network, eventloop, store, store, incarnation);
+    quotas.join(network, eventloop, store, store, incarnation, eras);
     PeerReports reports = new PeerReports(self, quotas, relay);
     Fleet fleet = Fleet.start(self, network, eventloop, timer, events, reports::report, reports);
     startMirror(store, FleetMember.TABLE, INSTANCE_POLLS, fleet);
--- a/snipewick/src/main/java/org/snipewick/quarantine/Quarantine.java
+++ b/snipewick/src/main/java/org/snipewick/quarantine/Quarantine.java
@@ -59,6 +59,7 @@
   private boolean isChanged;
   private boolean isWriting;
   private boolean isWriteLost;
+  private boolean isRestored;
 
   private Quarantine(
       InstanceId self,
@@ -204,11 +205,17 @@
 
   @Override
   public void onRows(List<TableRow> rows, Moment sentAt) {
-    evidenceOfOthers.clear();
+    if (!isRestored) {
+      evidenceOfOthers.clear();
+    }
+    isRestored = false;
     for (TableRow row : rows) {
       Optional<Evidence> decoded = decode(row);
       if (!row.key().equals(self.value())) {
-        decoded.ifPresent(evidence -> evidenceOfOthers.put(row.key(), evidence));
+        decoded.ifPresent(
+            evidence ->
+                evidenceOfOthers.merge(
+                    row.key(), evidence, (known, read) -> known.withEarlier(read, Set.of())));
       } else if (!isLoaded && decoded.isPresent()) {
         own = own.withEarlier(decoded.get(), Set.of());
       }
@@ -218,6 +225,16 @@
     scheduleWrite();
   }
 
+  /**
+   * Keeps the evidence whose rows were lost in a restore of the store, and writes the own row
+   * again.
+   */
+  @Override
+  public void onNewEra() {
+    isRestored = true;
+    isChanged |= !own.equals(Evidence.empty());
+  }
+
   @Override
   public void onChanges(RowChanges.Delta changes, Moment sentAt) {
     for (TableRow row : changes.written()) {
--- a/snipewick/src/main/java/org/snipewick/quota/QuotaSlots.java
+++ b/snipewick/src/main/java/org/snipewick/quota/QuotaSlots.java
@@ -14,6 +14,8 @@
 import org.snipewick.event.EventLog;
 import org.snipewick.identity.InstanceId;
 import org.snipewick.store.ConditionalTableWriter;
+import org.snipewick.store.EraTracker;
+import org.snipewick.store.RowPage;
 import org.snipewick.store.TableReader;
 import org.snipewick.store.TableRow;
 import org.snipewick.time.TimerService;
@@ -47,6 +49,7 @@
   private final InstanceId self;
   private final TableReader reader;
   private final TimerService timer;
+  private final EraTracker eras;
   private final List<SlotLease> leases = new ArrayList<>();
   private final Map<Integer, Long> announcedNanos = new HashMap<>();
   private List<InstanceId> instances;
@@ -62,13 +65,16 @@
       TimerService timer,
       EventLog events,
       SlotGrants.Capacities capacities,
-      long incarnation) {
+      long incarnation,
+      EraTracker eras) {
+    this.eras = requireNonNull(eras, "eras");
     this.self = requireNonNull(self, "self");
     this.reader = requireNonNull(reader, "reader");
     this.timer = requireNonNull(timer, "timer");
     this.instances = List.of(self);
     for (int slot = 0; slot < COUNT; slot++) {
-      leases.add(new SlotLease(slot, self, incarnation, window, writer, timer, events, capacities));
+      leases.add(
+          new SlotLease(slot, self, incarnation, window, writer, timer, events, capacities, eras));
       announcedNanos.put(slot, timer.nanoTime());
     }
   }
@@ -84,6 +90,7 @@
    * @param events log to which acquired and lost slots are written
    * @param capacities part of each limit that a slot contains
    * @param incarnation number of this process
+   * @param eras eras of the store
    */
   static QuotaSlots start(
       InstanceId self,
@@ -93,9 +100,10 @@
       TimerService timer,
       EventLog events,
       SlotGrants.Capacities capacities,
-      long incarnation) {
+      long incarnation,
+      EraTracker eras) {
     QuotaSlots slots =
-        new QuotaSlots(self, window, reader, writer, timer, events, capacities, incarnation);
+        new QuotaSlots(self, window, reader, writer, timer, events, capacities, incarnation, eras);
     slots.read();
     timer.every(CHECK_PERIOD, slots::check);
     return slots;
@@ -136,7 +144,8 @@
     leases.forEach(SlotLease::renewIfDue);
     boolean isReadDue =
         readNanos.isEmpty() || timer.nanoTime() - readNanos.get() >= READ_PERIOD.toNanos();
-    if (isReadDue && leases.stream().anyMatch(this::mayTake)) {
+    if (leases.stream().anyMatch(SlotLease::isOfEarlierEra)
+        || (isReadDue && leases.stream().anyMatch(this::mayTake))) {
       read();
     }
   }
@@ -175,18 +184,18 @@
             .handle(
                 (page, thrown) -> {
                   isReading = false;
-                  if (thrown == null && !isReleased) {
-                    onRows(page.rows());
+                  if (thrown == null && !isReleased && page.era() == eras.newest()) {
+                    onRows(page);
                   }
                   return null;
                 });
   }
 
-  private void onRows(List<TableRow> rows) {
+  private void onRows(RowPage page) {
     for (SlotLease lease : leases) {
       Optional<TableRow> row =
-          rows.stream().filter(each -> each.key().equals(lease.key())).findFirst();
-      lease.observe(row);
+          page.rows().stream().filter(each -> each.key().equals(lease.key())).findFirst();
+      lease.observe(row, page.era());
       if (lease.isOfThisInstance() || (lease.isVacant() && mayTake(lease))) {
         lease.take();
       }
--- a/snipewick/src/main/java/org/snipewick/quota/SlotLease.java
+++ b/snipewick/src/main/java/org/snipewick/quota/SlotLease.java
@@ -12,6 +12,7 @@
 import org.snipewick.event.EventType;
 import org.snipewick.identity.InstanceId;
 import org.snipewick.store.ConditionalTableWriter;
+import org.snipewick.store.EraTracker;
 import org.snipewick.store.MalformedRow;
 import org.snipewick.store.Row;
 import org.snipewick.store.TableRow;
@@ -22,7 +23,9 @@
 
 /**
  * Lease of one slot. It ends on the clocks of its holder before another instance can have observed
- * the same version of its row for the whole duration. Not thread-safe.
+ * the same version of its row for the whole duration. After a restore of the store from an older
+ * copy, the holder grants nothing until it has written its record in the new era; anybody else
+ * waits the whole duration and counts the whole slot as granted. Not thread-safe.
  */
 final class SlotLease {
   static final Duration DURATION = Duration.ofSeconds(6);
@@ -47,8 +50,13 @@
   private final TimerService timer;
   private final EventLog events;
   private final SlotGrants.Capacities capacities;
+  private final EraTracker eras;
 
   private long version = ABSENT;
+
+  /** Era of the store in which the version was read or written. */
+  private long era = EraTracker.NO_ERA;
+
   private long observedNanos;
   private Optional<SlotRecord> observed = Optional.empty();
   private boolean isObserved;
@@ -56,6 +64,10 @@
 
   private Optional<SlotGrants> grants = Optional.empty();
   private Optional<Moment> renewedAt = Optional.empty();
+
+  /** Era of the store in which the lease was last confirmed. */
+  private long confirmedEra = EraTracker.NO_ERA;
+
   private long writtenNanos;
   private boolean isWriting;
 
@@ -67,7 +79,8 @@
       ConditionalTableWriter writer,
       TimerService timer,
       EventLog events,
-      SlotGrants.Capacities capacities) {
+      SlotGrants.Capacities capacities,
+      EraTracker eras) {
     this.slot = slot;
     this.self = requireNonNull(self, "self");
     this.incarnation = incarnation;
@@ -76,6 +89,7 @@
     this.timer = requireNonNull(timer, "timer");
     this.events = requireNonNull(events, "events");
     this.capacities = requireNonNull(capacities, "capacities");
+    this.eras = requireNonNull(eras, "eras");
   }
 
   int slot() {
@@ -93,32 +107,70 @@
 
   /** Returns the grants of the slot if the lease is valid now. */
   Optional<SlotGrants> held() {
-    return grants.filter(
-        ignored ->
-            renewedAt
-                .filter(at -> isWithin(Moment.now(timer).since(at), DURATION.minus(CLOCK_MARGIN)))
-                .isPresent());
+    return grants.filter(ignored -> confirmedEra == eras.newest() && isTimeLeft());
+  }
+
+  private boolean isTimeLeft() {
+    return renewedAt
+        .filter(at -> isWithin(Moment.now(timer).since(at), DURATION.minus(CLOCK_MARGIN)))
+        .isPresent();
+  }
+
+  /** Returns whether this process took the slot in an earlier era and has to read its row again. */
+  boolean isOfEarlierEra() {
+    return isMine() && era != eras.newest();
   }
 
   private static boolean isWithin(Duration duration, Duration limit) {
     return duration.compareTo(limit) < 0;
   }
 
-  /** Records the row of the slot as read from the store. */
-  void observe(Optional<TableRow> row) {
-    if (isMine() || isWriting) {
+  /** Records the row of the slot as read from the store in its newest era. */
+  void observe(Optional<TableRow> row, long readEra) {
+    if (isWriting) {
+      return;
+    }
+    if (isMine()) {
+      if (readEra != era) {
+        continueInNewEra(row, readEra);
+      }
       return;
     }
     long read = row.map(TableRow::version).orElse(ABSENT);
-    if (!isObserved || read != version) {
+    if (!isObserved || read != version || readEra != era) {
       isObserved = true;
       version = read;
+      era = readEra;
       observedNanos = timer.nanoTime();
       isMalformed = false;
       observed = row.flatMap(this::decode);
     }
   }
 
+  /**
+   * Writes the own ledger in a new era. As long as the lease lasts, nobody else can have taken the
+   * slot: before the restore they had to wait for its end, and after it for a whole duration.
+   */
+  private void continueInNewEra(Optional<TableRow> row, long readEra) {
+    boolean isTaken =
+        row.flatMap(this::decode)
+            .filter(record -> record.era() == readEra && !isOwn(record))
+            .isPresent();
+    isMalformed = false;
+    if (isTaken || !isTimeLeft()) {
+      lose("store was restored");
+      observe(row, readEra);
+    } else {
+      version = row.map(TableRow::version).orElse(ABSENT);
+      era = readEra;
+      write(grants.get());
+    }
+  }
+
+  private boolean isOwn(SlotRecord record) {
+    return record.holder().equals(self.value()) && record.incarnation() == incarnation;
+  }
+
   private Optional<SlotRecord> decode(TableRow row) {
     try {
       return Optional.of(SlotRecord.decode(row.value()));
@@ -129,9 +181,13 @@
     }
   }
 
-  /** Returns whether this instance wrote the row last, and this process does not use the slot. */
+  /**
+   * Returns whether this instance wrote the row last, and this process does not use the slot. A row
+   * of an earlier era is nobody's, as another instance may have replaced it before the restore.
+   */
   boolean isOfThisInstance() {
     return observed
+        .filter(record -> record.era() == era)
         .filter(record -> record.holder().equals(self.value()))
         .filter(record -> record.incarnation() <= incarnation)
         .isPresent();
@@ -139,10 +195,16 @@
 
   /** Returns whether nobody can hold the slot now. */
   boolean isVacant() {
-    boolean isReleased = !isMalformed && observed.map(SlotRecord::isReleased).orElse(true);
+    boolean isReleased = isBounded() && observed.map(SlotRecord::isReleased).orElse(true);
     return isObserved && (isReleased || timer.nanoTime() - observedNanos >= DURATION.toNanos());
   }
 
+  /** Returns whether the row bounds what was granted out of the slot. */
+  private boolean isBounded() {
+    return !isMalformed
+        && observed.map(record -> record.era() == era).orElseGet(() -> !eras.mayHaveLostRows());
+  }
+
   /** Takes the slot; must be vacant or of this instance. */
   void take() {
     if (isMine() || isWriting) {
@@ -150,8 +212,8 @@
     }
     long now = timer.nanoTime();
     SlotGrants taken;
-    if (isMalformed) {
-      // What the malformed record bounded is unknown: the whole part counts as granted.
+    if (!isBounded()) {
+      // What a malformed or lost record bounded is unknown: the whole part counts as granted.
       SlotRecord all = new SlotRecord("", 0, 1, Map.of());
       taken = SlotGrants.restore(all, window, GRANT_LIFETIME, now);
     } else {
@@ -165,12 +227,16 @@
 
   /** Renews the lease and records the grants, if it is time to. */
   void renewIfDue() {
-    if (grants.isEmpty()) {
+    if (grants.isEmpty() || isOfEarlierEra()) {
+      return;
+    }
+    if (confirmedEra != era && !isTimeLeft()) {
+      lose("lease ended before it was confirmed in the new era");
       return;
     }
     Duration sinceWrite = Duration.ofNanos(timer.nanoTime() - writtenNanos);
     Duration period =
-        grants.get().needsRecord()
+        grants.get().needsRecord() || confirmedEra != era
             ? MIN_WRITE_PERIOD
             : grants.get().isChanged() ? RENEWAL_PERIOD : IDLE_RENEWAL_PERIOD;
     if (!isWithin(sinceWrite, period)) {
@@ -180,11 +246,13 @@
 
   /** Gives the slot up; nothing more is granted out of it. */
   void release() {
+    if (isOfEarlierEra() || (isMine() && confirmedEra != era)) {
+      lose("stopped before the lease was confirmed in the new era");
+    }
     grants.ifPresent(
         released -> {
-          CompletableFuture<WriteResult> unused =
-              writer.write(
-                  QuotaSlots.TABLE, write(released.finalRecord(capacities, timer.nanoTime())));
+          SlotRecord record = released.finalRecord(capacities, timer.nanoTime()).inEra(era);
+          CompletableFuture<WriteResult> unused = writer.write(QuotaSlots.TABLE, write(record));
           lose("released");
         });
   }
@@ -202,7 +270,8 @@
     isWriting = true;
     writtenNanos = timer.nanoTime();
     Moment sentAt = Moment.now(timer);
-    SlotRecord record = written.nextRecord(self.value(), incarnation, capacities, writtenNanos);
+    SlotRecord record =
+        written.nextRecord(self.value(), incarnation, capacities, writtenNanos).inEra(era);
     CompletableFuture<Void> unused =
         writer
             .write(QuotaSlots.TABLE, write(record))
@@ -214,36 +283,41 @@
   }
 
   private void onResult(WriteResult result, SlotGrants written, Moment sentAt) {
-    if (result instanceof WriteResult.Applied applied) {
+    if (result instanceof WriteResult.Applied applied && applied.era() != era) {
+      // The version that it was conditional on may be that of another row of the new era.
+      lose("confirmed in another era");
+      isObserved = false;
+    } else if (result instanceof WriteResult.Applied applied) {
       version = applied.version();
       written.onRecorded();
       renewedAt = Optional.of(sentAt);
+      confirmedEra = era;
       if (grants.isEmpty()) {
         grants = Optional.of(written);
         events.record(EventType.LEASE_TAKEN, subject(), Map.of("version", version));
       }
     } else if (result instanceof WriteResult.Conflict conflict) {
-      onConflict(conflict.current());
+      onConflict(conflict.current(), conflict.era());
     }
   }
 
   /** Adopts the version of an earlier write of this process whose response was lost. */
-  private void onConflict(Optional<Row> current) {
+  private void onConflict(Optional<Row> current, long conflictEra) {
+    if (conflictEra != era) {
+      isObserved = false;
+      return;
+    }
     Optional<TableRow> row =
         current.map(
             found -> new TableRow("", found.key(), found.value().getBytes(UTF_8), found.version()));
     Optional<SlotRecord> record = row.flatMap(this::decode);
-    boolean isOwn =
-        record
-            .filter(found -> found.holder().equals(self.value()))
-            .filter(found -> found.incarnation() == incarnation)
-            .isPresent();
-    if (isOwn && grants.isPresent()) {
+    boolean isOwnOfEra = record.filter(this::isOwn).filter(own -> own.era() == era).isPresent();
+    if (isOwnOfEra && grants.isPresent()) {
       version = row.get().version();
       return;
     }
     lose("taken by another instance");
-    observe(row);
+    observe(row, era);
   }
 
   private void lose(String cause) {
--- a/snipewick/src/main/java/org/snipewick/quota/SlotRecord.java
+++ b/snipewick/src/main/java/org/snipewick/quota/SlotRecord.java
@@ -11,6 +11,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.snipewick.store.EraTracker;
 
 /**
  * Row of a slot: its holder, and a bound on all that was granted out of it by the time the row is
@@ -21,9 +22,15 @@
  * @param shareOfOthers share of the capacity that may count as granted, by the time the row is
  *     replaced, of each limit that is not listed
  * @param grants grants by the key of the limit
+ * @param era newest era of the store that the writer knew. In a later era the row bounds nothing,
+ *     as rows that replaced it may have been lost
  */
 record SlotRecord(
-    String holder, long incarnation, double shareOfOthers, Map<String, KeyGrants> grants) {
+    String holder,
+    long incarnation,
+    double shareOfOthers,
+    Map<String, KeyGrants> grants,
+    long era) {
   private static final ObjectMapper JSON = new ObjectMapper();
 
   SlotRecord {
@@ -32,6 +39,10 @@
     grants = Map.copyOf(grants);
   }
 
+  SlotRecord(String holder, long incarnation, double shareOfOthers, Map<String, KeyGrants> grants) {
+    this(holder, incarnation, shareOfOthers, grants, EraTracker.NO_ERA);
+  }
+
   /**
    * Grants of one limit.
    *
@@ -47,6 +58,11 @@
     }
   }
 
+  /** Returns this record as it is written in an era of the store. */
+  SlotRecord inEra(long other) {
+    return new SlotRecord(holder, incarnation, shareOfOthers, grants, other);
+  }
+
   boolean isReleased() {
     return holder.isEmpty();
   }
@@ -54,6 +70,9 @@
   String encode() {
     ObjectNode root = JSON.createObjectNode();
     root.put("holder", holder).put("incarnation", incarnation).put("others", shareOfOthers);
+    if (era != EraTracker.NO_ERA) {
+      root.put("era", era);
+    }
     ObjectNode byKey = root.putObject("grants");
     grants.forEach(
         (key, amounts) -> {
@@ -89,7 +108,8 @@
         root.path("holder").asText(),
         root.path("incarnation").asLong(),
         number(root.path("others")),
-        grants);
+        grants,
+        root.path("era").asLong(EraTracker.NO_ERA));
   }
 
   private static double number(JsonNode node) {
--- a/snipewick/src/main/java/org/snipewick/quota/TeamQuotas.java
+++ b/snipewick/src/main/java/org/snipewick/quota/TeamQuotas.java
@@ -23,6 +23,7 @@
 import org.snipewick.route.TeamPlan;
 import org.snipewick.route.TeamQuota;
 import org.snipewick.store.ConditionalTableWriter;
+import org.snipewick.store.EraTracker;
 import org.snipewick.store.TableReader;
 import org.snipewick.time.TimerService;
 
@@ -94,16 +95,26 @@
    * @param reader reads the rows of the slots
    * @param writer writes them
    * @param incarnation number of this process, higher than that of any earlier one
+   * @param eras eras of the store, which must include those of all its responses
    */
   public void join(
       PeerNetwork network,
       Executor executor,
       TableReader reader,
       ConditionalTableWriter writer,
-      long incarnation) {
+      long incarnation,
+      EraTracker eras) {
     QuotaSlots started =
         QuotaSlots.start(
-            self, bounds.window(), reader, writer, timer, events, this::slotCapacity, incarnation);
+            self,
+            bounds.window(),
+            reader,
+            writer,
+            timer,
+            events,
+            this::slotCapacity,
+            incarnation,
+            eras);
     slots = Optional.of(started);
     peers =
         Optional.of(
--- a/snipewick/src/main/java/org/snipewick/registry/EndpointRegistry.java
+++ b/snipewick/src/main/java/org/snipewick/registry/EndpointRegistry.java
@@ -33,6 +33,9 @@
    */
   static final Duration DEPARTURE_RETENTION = Duration.ofMinutes(10);
 
+  /** A restored copy of the store is some seconds old; this is several times as long. */
+  static final Duration REMOVAL_RETENTION = Duration.ofSeconds(60);
+
   private final TimerService timer;
   private final EventLog events;
   private final Consumer<Collection<RegisteredEndpoint>> subscriber;
@@ -42,6 +45,10 @@
   /** Endpoints that announced their departure, with the start of the incarnation that did. */
   private final Map<EndpointId, Long> announcedDepartures = new HashMap<>();
 
+  /** Endpoints whose entries were removed lately, with the start of the removed incarnation. */
+  private final Map<EndpointId, Long> recentlyRemoved = new HashMap<>();
+
+  private boolean isRestored;
   private boolean isReadable = true;
   private TimerService.Subscription gracePeriodTimer = () -> {};
   private boolean isInGracePeriod;
@@ -77,8 +84,9 @@
     Set<EndpointId> missing = new HashSet<>(listed.keySet());
     for (RegisteredEndpoint endpoint : endpoints) {
       missing.remove(endpoint.id());
-      put(endpoint);
+      put(isRestored && wasLeavingOrGone(endpoint) ? endpoint.asLeaving() : endpoint);
     }
+    isRestored = false;
     missing.forEach(this::remove);
     notifySubscriber();
   }
@@ -138,6 +146,25 @@
     gracePeriodTimer = timer.after(LAPSE_GRACE_PERIOD, this::endGracePeriod);
   }
 
+  /**
+   * Records that the next list is that of a store restored from an older copy. Entries that are
+   * missing in it are kept for the grace period, as endpoints register again. Entries of endpoints
+   * that were leaving or gone before count as leaving until they are written again.
+   */
+  public void onListRestored() {
+    isRestored = true;
+    onListAvailableAgain();
+  }
+
+  private boolean wasLeavingOrGone(RegisteredEndpoint entry) {
+    RegisteredEndpoint known = listed.get(entry.id());
+    if (known != null) {
+      return known.isLeaving() && known.startedEpochMillis() == entry.startedEpochMillis();
+    }
+    Long started = recentlyRemoved.get(entry.id());
+    return started != null && started == entry.startedEpochMillis();
+  }
+
   private void put(RegisteredEndpoint entry) {
     RegisteredEndpoint endpoint = hasAnnouncedDeparture(entry) ? entry.asLeaving() : entry;
     lapsed.remove(endpoint.id());
@@ -157,6 +184,9 @@
       recordChange(entry, "lapsed");
     } else {
       listed.remove(id);
+      Long started = entry.startedEpochMillis();
+      recentlyRemoved.put(id, started);
+      timer.after(REMOVAL_RETENTION, () -> recentlyRemoved.remove(id, started));
       recordChange(entry, "gone");
     }
   }
--- a/snipewick/src/test/java/org/snipewick/quota/QuotaFleet.java
+++ b/snipewick/src/test/java/org/snipewick/quota/QuotaFleet.java
@@ -29,6 +29,7 @@
 import org.snipewick.peer.PeerNetwork;
 import org.snipewick.route.TeamPlan;
 import org.snipewick.store.ConditionalTableWriter;
+import org.snipewick.store.EraTracker;
 import org.snipewick.store.Row;
 import org.snipewick.store.RowChanges;
 import org.snipewick.store.RowPage;
@@ -42,7 +43,7 @@
 /**
  * Instances that share the quota of one team on virtual time, with a store and a network whose
  * messages take time. Processes can be killed, restarted, frozen and cut off, and the store can be
- * down or lose responses.
+ * down, lose responses or be restored from an older copy.
  */
 final class QuotaFleet {
   private static final Duration STORE_DELAY = Duration.ofMillis(6);
@@ -59,7 +60,9 @@
   private final Map<String, TableRow> rows = new HashMap<>();
   private final Set<InstanceId> cut = new HashSet<>();
   private final Set<InstanceId> frozen = new HashSet<>();
+  private final TreeMap<Long, StoreCopy> copies = new TreeMap<>();
   private long storeVersion;
+  private long storeEra = 1;
   private boolean isStoreDown;
   private double lostResponses;
 
@@ -123,6 +126,31 @@
     lostResponses = 0;
   }
 
+  /** Restores the store from its copy of an earlier moment, which starts a new era. */
+  void restoreStore(Duration age) {
+    Map.Entry<Long, StoreCopy> copy = copies.floorEntry(timer.nanoTime() - age.toNanos());
+    rows.clear();
+    storeVersion = copy == null ? 0 : copy.getValue().version();
+    if (copy != null) {
+      rows.putAll(copy.getValue().rows());
+    }
+    copies.tailMap(timer.nanoTime() - age.toNanos(), false).clear();
+    storeEra++;
+    copyStore();
+  }
+
+  private void copyStore() {
+    copies.put(timer.nanoTime(), new StoreCopy(storeVersion, rows));
+  }
+
+  /** State of the store at a moment. */
+  private record StoreCopy(long version, Map<String, TableRow> rows) {
+
+    private StoreCopy {
+      rows = Map.copyOf(rows);
+    }
+  }
+
   void setStoreDown(boolean isDown) {
     isStoreDown = isDown;
   }
@@ -182,6 +210,7 @@
       implements PeerNetwork, TableReader, ConditionalTableWriter, TimerService {
     private final InstanceId instance;
     private final TeamQuotas quotas;
+    private final EraTracker eras = EraTracker.of(this, EventLog.none());
     private final Deque<Runnable> delayed = new ArrayDeque<>();
     private BiFunction<InstanceId, PeerMessage, CompletableFuture<? extends PeerMessage>> handler;
 
@@ -190,7 +219,8 @@
       this.quotas =
           TeamQuotas.of(
               instance, bounds, name -> team.quota(), this, EventLog.none(), new MetricRegistry());
-      quotas.join(this, Runnable::run, this, this, ++storeVersion);
+      eras.observe(storeEra);
+      quotas.join(this, Runnable::run, this, this, eras.incarnation(++storeVersion), eras);
       updateInstances();
     }
 
@@ -284,8 +314,17 @@
                 result.completeExceptionally(
                     Failure.unknown(FailureType.PLATFORM_UNAVAILABLE, "down").toException()));
       } else {
-        RowPage page = new RowPage(List.copyOf(rows.values()), storeVersion, false);
-        after(STORE_DELAY, () -> result.complete(page));
+        RowPage page = new RowPage(List.copyOf(rows.values()), storeVersion, false, storeEra);
+        after(
+            STORE_DELAY,
+            () -> {
+              if (eras.observe(page.era())) {
+                result.complete(page);
+              } else {
+                result.completeExceptionally(
+                    Failure.unknown(FailureType.PLATFORM_UNAVAILABLE, "old era").toException());
+              }
+            });
       }
       return result;
     }
@@ -314,7 +353,12 @@
             STORE_DELAY,
             () -> {
               WriteResult applied = apply(write);
-              after(STORE_DELAY, () -> result.complete(applied));
+              long era = storeEra;
+              after(
+                  STORE_DELAY,
+                  () ->
+                      result.complete(
+                          eras.observe(era) ? applied : new WriteResult.Ambiguous("old era")));
             });
       }
       return result;
@@ -326,12 +370,14 @@
       if ((current == null ? 0 : current.version()) != expected) {
         return new WriteResult.Conflict(
             Optional.ofNullable(current)
-                .map(row -> new Row(row.key(), row.version(), new String(row.value(), UTF_8))));
+                .map(row -> new Row(row.key(), row.version(), new String(row.value(), UTF_8))),
+            storeEra);
       }
       String value =
           write instanceof Write.Replace replace ? replace.value() : ((Write.Insert) write).value();
       rows.put(write.key(), new TableRow("", write.key(), value.getBytes(UTF_8), ++storeVersion));
-      return new WriteResult.Applied(storeVersion);
+      copyStore();
+      return new WriteResult.Applied(storeVersion, storeEra);
     }
 
     @Override
--- a/snipewick/src/test/java/org/snipewick/quota/QuotaFleetTest.java
+++ b/snipewick/src/test/java/org/snipewick/quota/QuotaFleetTest.java
@@ -124,6 +124,57 @@
     assertThat(spent).as("seed %d, demand %s", seed, demand).isGreaterThan(0);
   }
 
+  /**
+   * Guards against grants of the lost rows that are forgotten. The step of 130 ms meets each phase
+   * of the renewals; the kill just before or after meets the next process of a holder.
+   */
+  @ParameterizedTest
+  @MethodSource("restoreMillis")
+  void shouldStayWithinBoundWhenStoreIsRestoredDuringLease(int millis) {
+    SplittableRandom faults = new SplittableRandom(millis);
+    start(8, 200);
+    int firstStep = 700 + millis / 10;
+    play(
+        3,
+        step -> {
+          if (step == firstStep) {
+            fleet.restoreStore(Duration.ofMillis(200 + faults.nextInt(7_000)));
+          } else if (Math.abs(step - firstStep) == 10 && faults.nextInt(3) == 0) {
+            InstanceId victim = all().get(faults.nextInt(instances));
+            fleet.kill(victim);
+            fleet.start(victim);
+          }
+        });
+    assertThat(maxSpentInWindow()).as("%d ms", millis).isLessThanOrEqualTo(BOUND);
+    assertThat(spent).as("%d ms", millis).isGreaterThan(0.6 * TOKENS_PER_SECOND * 30);
+  }
+
+  static IntStream restoreMillis() {
+    return IntStream.range(0, 46).map(each -> each * 130);
+  }
+
+  /** Restores in series, beside kills, freezes, cuts and lost responses. */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void shouldStayWithinBoundWhenStoreIsRestoredAgainAndAgain(long seed) {
+    SplittableRandom faults = new SplittableRandom(seed);
+    start(faults.nextBoolean() ? 8 : 70, faults.nextBoolean() ? 200 : 510);
+    double demand = faults.nextBoolean() ? 3 : 0.6;
+    int everySteps = 40 + faults.nextInt(400);
+    play(
+        demand,
+        step -> {
+          if (step % everySteps == 0) {
+            fleet.restoreStore(Duration.ofMillis(faults.nextInt(9_000)));
+          } else if (step % 25 == 0) {
+            inject(faults);
+          }
+        });
+    assertThat(maxSpentInWindow())
+        .as("seed %d, demand %s", seed, demand)
+        .isLessThanOrEqualTo(BOUND);
+  }
+
   private void inject(SplittableRandom faults) {
     InstanceId victim = all().get(faults.nextInt(instances));
     boolean isRunning = fleet.running().contains(victim);
--- a/snipewick/src/test/java/org/snipewick/registry/EndpointRegistryTest.java
+++ b/snipewick/src/test/java/org/snipewick/registry/EndpointRegistryTest.java
@@ -64,6 +64,29 @@
     assertThat(latest).isEmpty();
   }
 
+  /** Guards against live endpoints that are dropped because a restored store lost their rows. */
+  @Test
+  void shouldKeepEndpointForGracePeriodWhenStoreIsRestoredWithoutIt() {
+    registry.replaceAll(List.of(endpoint("a"), endpoint("b")));
+    registry.onListRestored();
+    registry.replaceAll(List.of(endpoint("b")));
+    assertThat(latest).hasSize(2);
+    timer.advance(EndpointRegistry.LAPSE_GRACE_PERIOD);
+    assertThat(latest).hasSize(1);
+  }
+
+  /** Guards against requests to an endpoint that was gone before the store was restored. */
+  @Test
+  void shouldTreatEndpointAsLeavingWhenRestoredStoreBringsItBack() {
+    registry.replaceAll(List.of(endpoint("a"), endpoint("b")));
+    registry.applyChanges(List.of(), List.of(EndpointId.of("a")));
+    registry.onListRestored();
+    registry.replaceAll(List.of(endpoint("a"), endpoint("b")));
+    assertThat(latest).filteredOn(RegisteredEndpoint::isLeaving).hasSize(1);
+    registry.applyChanges(List.of(endpoint("a", 2)), List.of());
+    assertThat(latest).noneMatch(RegisteredEndpoint::isLeaving);
+  }
+
   @Test
   void shouldCountEndpointAsLeavingWhenItAnnouncedItsDeparture() {
     registry.replaceAll(List.of(endpoint("a"), endpoint("b")));
--- a/snipewick/src/test/java/org/snipewick/store/TableMirrorTest.java
+++ b/snipewick/src/test/java/org/snipewick/store/TableMirrorTest.java
@@ -53,6 +53,28 @@
     assertThat(reader.requests).endsWith("changes 21");
   }
 
+  /** Guards against a mirror that compares versions of two histories of the store. */
+  @Test
+  void shouldReadAllRowsAgainWhenStoreIsRestored() {
+    start();
+    reader.pages.remove().complete(new RowPage(List.of(row("a", 9)), 10, false, 1));
+    reader.changes.remove().complete(new RowChanges.Delta(List.of(), List.of(), 12, 2));
+    reader.pages.remove().complete(new RowPage(List.of(row("b", 7)), 8, false, 2));
+    assertThat(listener.received).containsExactly("rows a", "new era", "rows b");
+    assertThat(reader.requests).endsWith("changes 10", "read ", "changes 8");
+  }
+
+  /** Guards against rows of two eras that are mixed, and against a late page of an earlier one. */
+  @Test
+  void shouldReadFromStartWhenEraChangesBetweenPages() {
+    start();
+    reader.pages.remove().complete(new RowPage(List.of(row("a", 9)), 10, true, 1));
+    reader.pages.remove().complete(new RowPage(List.of(row("b", 7)), 8, false, 2));
+    timer.advance(Duration.ofSeconds(1));
+    reader.pages.remove().complete(new RowPage(List.of(row("c", 7)), 8, false, 2));
+    assertThat(listener.received).containsExactly("lost", "regained", "rows c");
+  }
+
   @Test
   void shouldNotifyListenerOfLossOnceWhenSeveralCallsFail() {
     start();
@@ -157,6 +179,11 @@
       lastSentAt = sentAt;
     }
 
+    @Override
+    public void onNewEra() {
+      received.add("new era");
+    }
+
     @Override
     public void onUnavailable() {
       received.add("lost");
--- a/standins/src/main/java/org/snipewick/standins/platform/PlatformStandIn.java
+++ b/standins/src/main/java/org/snipewick/standins/platform/PlatformStandIn.java
@@ -5,6 +5,8 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import io.activej.eventloop.Eventloop;
+import io.activej.http.HttpHeader;
+import io.activej.http.HttpHeaders;
 import io.activej.http.HttpMethod;
 import io.activej.http.HttpResponse;
 import io.activej.promise.Promise;
@@ -21,6 +23,9 @@
  * Stand-in for the platform: a store of rows and objects whose reads and writes are rate-limited.
  */
 public final class PlatformStandIn implements StandIn {
+  /** Number of the store's history, which rises with each restore. */
+  private static final HttpHeader ERA = HttpHeaders.of("Store-Era");
+
   private final Eventloop eventloop;
   private final PlatformSettings settings;
   private final RowStore store = new RowStore();
@@ -56,6 +61,10 @@
 
   @Override
   public Promise<HttpResponse> serve(Call call) throws JsonProcessingException {
+    return respond(call).map(response -> response.withHeader(ERA, String.valueOf(store.era())));
+  }
+
+  private Promise<HttpResponse> respond(Call call) throws JsonProcessingException {
     boolean isRead = call.method() == HttpMethod.GET;
     if (!(isRead ? readLimit : writeLimit).tryTake(nowEpochMillis())) {
       return Promise.of(Responses.error(429, "rate limit exceeded"));
@@ -81,6 +90,7 @@
   public Promise<HttpResponse> control(Call call) throws JsonProcessingException {
     switch (call.path()) {
       case "/control/instances" -> register(call.json(JsonNode.class));
+      case "/control/restore" -> restore(call.json(JsonNode.class).path("ageMillis").asLong());
       case "/control/weights" -> objects.setWeights(call.json(String[].class));
       default -> {
         return Responses.unknownPath();
@@ -89,6 +99,12 @@
     return Promise.of(HttpResponse.ofCode(204));
   }
 
+  /** Restores the store from a copy of the given age. */
+  private void restore(long ageMillis) {
+    store.restore(nowEpochMillis() - ageMillis, nowEpochMillis());
+    rows.notifyFeeds();
+  }
+
   private void register(JsonNode instances) {
     if (settings.listLagMillis() == 0) {
       applyRegistrations(instances);
--- a/standins/src/main/java/org/snipewick/standins/platform/RowStore.java
+++ b/standins/src/main/java/org/snipewick/standins/platform/RowStore.java
@@ -12,7 +12,7 @@
 
 /**
  * Rows of all tables with their recent changes, which are dropped after 20 s. Each transaction
- * increments the version of the store.
+ * increments the version of the store. The store can be restored as it was some seconds ago.
  */
 final class RowStore {
   private static final long HISTORY_MILLIS = 20_000;
@@ -21,6 +21,8 @@
   private final Deque<Change> history = new ArrayDeque<>();
   private long version;
   private long latestDroppedVersion;
+  private final LaggedValue<Long> versions = new LaggedValue<>(0L);
+  private long era = 1;
 
   /** Identity of a row in its table, ordered by partition and key. */
   record RowId(String partition, String key) implements Comparable<RowId> {
@@ -50,6 +52,26 @@
     return version;
   }
 
+  /** Returns the number of the store's history, which rises with each restore. */
+  long era() {
+    return era;
+  }
+
+  /** Returns to the state at an earlier time; versions after it are assigned again. */
+  void restore(long epochMillis, long nowEpochMillis) {
+    era++;
+    version = versions.at(epochMillis);
+    versions.set(nowEpochMillis, version);
+    tables
+        .values()
+        .forEach(
+            rows -> rows.values().forEach(row -> row.set(nowEpochMillis, row.at(epochMillis))));
+    while (!history.isEmpty() && history.getLast().version() > version) {
+      history.removeLast();
+    }
+    latestDroppedVersion = Math.min(latestDroppedVersion, version);
+  }
+
   /** Returns a row as it was at a time, or empty if it did not exist. */
   Optional<Row> read(String table, RowId id, long epochMillis) {
     return Optional.ofNullable(table(table).get(id)).flatMap(row -> row.at(epochMillis));
@@ -89,6 +111,7 @@
   /** Applies a transaction and returns its version. */
   long commit(List<Row> writes, List<Condition> removals, long nowEpochMillis) {
     version++;
+    versions.set(nowEpochMillis, version);
     for (Row write : writes) {
       Row row = new Row(write.table(), write.part(), write.key(), write.value(), version);
       set(row.table(), row.id(), Optional.of(row), nowEpochMillis);
@@ -105,9 +128,12 @@
     return version;
   }
 
-  /** Returns the changes of a table after a version, or empty if they are no longer kept. */
+  /**
+   * Returns the changes of a table after a version, or empty if they are no longer kept or the
+   * store does not have the version.
+   */
   Optional<List<Map<String, Object>>> changes(String table, long after) {
-    if (after < latestDroppedVersion) {
+    if (after < latestDroppedVersion || after > version) {
       return Optional.empty();
     }
     return Optional.of(
--- a/systemtests/src/test/java/org/snipewick/systemtests/platform/StoreWatchTest.java
+++ b/systemtests/src/test/java/org/snipewick/systemtests/platform/StoreWatchTest.java
@@ -21,6 +21,7 @@
 import org.snipewick.fleet.InstanceRegistration;
 import org.snipewick.identity.FailureDomain;
 import org.snipewick.identity.InstanceId;
+import org.snipewick.store.EraTracker;
 import org.snipewick.store.MirrorListener;
 import org.snipewick.store.PollSchedule;
 import org.snipewick.store.RowChanges;
@@ -124,6 +125,21 @@
     mirror.close();
   }
 
+  /** Guards against rows of a lost history that stay in the mirror of a restored store. */
+  @Test
+  void shouldReadAllRowsAgainWhenStoreIsRestored() {
+    final long kept = put("kept");
+    waitFor(Duration.ofMillis(300));
+    final TableMirror mirror = startMirror();
+    put("lost");
+    Await.until(WAIT_TIMEOUT, "both rows", () -> rowCopy.versions().size() == 2);
+    fixture.put("/control/restore", Map.of("ageMillis", 200));
+
+    Await.until(WAIT_TIMEOUT, "kept", () -> rowCopy.versions().equals(Map.of("kept", kept)));
+    assertThat(rowCopy.fullReadCount()).isEqualTo(2);
+    mirror.close();
+  }
+
   @Test
   void shouldDetectSilentConnectionWhenRowsChangeMeanwhile() {
     final TableMirror mirror = startMirror();
@@ -155,6 +171,7 @@
             InstanceId.of("north-a.1"),
             FailureDomain.of("north-a"),
             InetSocketAddress.createUnresolved("127.0.0.1", 7100));
+    EraTracker eras = EraTracker.of(fixture.timer(), EventLog.none());
     fixture.setFaults(faults);
     final var first =
         InstanceRegistration.start(
@@ -162,12 +179,14 @@
             self,
             fixture.timer(),
             (type, subject, details) -> events.add(type),
-            new Random(6));
+            new Random(6),
+            eras);
     waitFor(Duration.ofMillis(400));
     fixture.setFaults("{}");
     long incarnation = first.orTimeout(20, TimeUnit.SECONDS).join();
     long next =
-        InstanceRegistration.start(store, self, fixture.timer(), EventLog.none(), new Random(7))
+        InstanceRegistration.start(
+                store, self, fixture.timer(), EventLog.none(), new Random(7), eras)
             .orTimeout(20, TimeUnit.SECONDS)
             .join();
 
