--- a/snipewick/src/main/java/org/snipewick/feed/ChangeLog.java
+++ b/snipewick/src/main/java/org/snipewick/feed/ChangeLog.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.snipewick.store.EraTracker;
 import org.snipewick.store.RowChanges;
 import org.snipewick.store.TableRow;
 import org.snipewick.time.Moment;
@@ -27,6 +28,7 @@
   private long bytes;
   private long oldestVersion = NO_VERSION;
   private long version = NO_VERSION;
+  private long era = EraTracker.NO_ERA;
   private Optional<Moment> provenAt = Optional.empty();
   private long proofNumber;
   private long firstProofNumber;
@@ -35,8 +37,9 @@
   private record Entry(RowChanges.Delta delta, long bytes) {}
 
   /** Starts anew after all rows have been read at a version. */
-  void reset(long readVersion, Moment readProvenAt) {
+  void reset(long readVersion, long readEra, Moment readProvenAt) {
     clear();
+    era = readEra;
     oldestVersion = readVersion;
     version = readVersion;
     prove(readProvenAt);
@@ -96,6 +99,11 @@
     return version;
   }
 
+  /** Returns the era of the store in which the versions count. */
+  long era() {
+    return era;
+  }
+
   /** Returns the moment as of which the version is current; empty if no version is known. */
   Optional<Moment> provenAt() {
     return provenAt;
@@ -145,6 +153,6 @@
       }
     }
     List<TableRow> rows = new ArrayList<>(written.values());
-    return Optional.of(new RowChanges.Delta(rows, List.copyOf(removed), version));
+    return Optional.of(new RowChanges.Delta(rows, List.copyOf(removed), version, era));
   }
 }
--- a/snipewick/src/main/java/org/snipewick/feed/FeedMessages.java
+++ b/snipewick/src/main/java/org/snipewick/feed/FeedMessages.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import org.snipewick.peer.PeerMessage;
+import org.snipewick.store.EraTracker;
 import org.snipewick.store.RowChanges;
 import org.snipewick.store.TableRow;
 
@@ -17,9 +18,6 @@
   public static final Map<String, Class<? extends PeerMessage>> MESSAGE_TYPES =
       Map.of("kq", Query.class, "kr", Reply.class);
 
-  /** Era of stores that name none. */
-  static final long NO_ERA = 0;
-
   private FeedMessages() {}
 
   /**
@@ -111,7 +109,7 @@
 
     /** Returns a reply without changes and proof. */
     static Reply of(Status status) {
-      return new Reply(status, List.of(), List.of(), 0, Duration.ZERO, 0, NO_ERA);
+      return new Reply(status, List.of(), List.of(), 0, Duration.ZERO, 0, EraTracker.NO_ERA);
     }
 
     /** Returns a reply with changes and a proof. */
@@ -127,7 +125,7 @@
           delta.version(),
           proofOffset,
           proofNumber,
-          NO_ERA);
+          delta.era());
     }
 
     /** Returns the changes. */
@@ -136,7 +134,7 @@
           written.stream()
               .map(row -> new TableRow("", row.key(), row.value(), row.version()))
               .toList();
-      return new RowChanges.Delta(rows, removedKeys, version);
+      return new RowChanges.Delta(rows, removedKeys, version, era);
     }
   }
 }
--- a/snipewick/src/main/java/org/snipewick/feed/ServedTable.java
+++ b/snipewick/src/main/java/org/snipewick/feed/ServedTable.java
@@ -11,6 +11,7 @@
 import org.snipewick.identity.InstanceId;
 import org.snipewick.peer.PeerMessage;
 import org.snipewick.store.RowChanges;
+import org.snipewick.store.RowPage;
 import org.snipewick.time.Moment;
 import org.snipewick.time.TimerService;
 
@@ -47,16 +48,16 @@
   }
 
   /** Records a read of all rows. */
-  void recordRows(long version, Moment provenAt) {
+  void recordRows(RowPage page, Moment provenAt) {
     isUnavailable = false;
-    log.reset(version, provenAt);
+    log.reset(page.version(), page.era(), provenAt);
     replyToWaiting();
   }
 
   /** Records the response to a read of the changes since a version. */
   void recordChanges(long since, RowChanges changes, Moment provenAt) {
     isUnavailable = false;
-    if (changes instanceof RowChanges.Delta delta) {
+    if (changes instanceof RowChanges.Delta delta && delta.era() == log.era()) {
       log.append(since, delta, provenAt);
     } else {
       log.clear();
@@ -134,7 +135,7 @@
     }
     boolean isOfLostHistory =
         query.proofNumber() != 0 && query.proofNumber() < log.firstProofNumber();
-    if (isOfLostHistory || query.era() != FeedMessages.NO_ERA) {
+    if (isOfLostHistory || query.era() != log.era()) {
       return Optional.of(FeedMessages.Reply.of(FeedMessages.Status.HISTORY_LOST));
     }
     if (query.version() > log.version()) {
--- a/snipewick/src/main/java/org/snipewick/feed/SharedTableFeed.java
+++ b/snipewick/src/main/java/org/snipewick/feed/SharedTableFeed.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
 import org.snipewick.identity.InstanceId;
+import org.snipewick.store.EraTracker;
 import org.snipewick.store.Proven;
 import org.snipewick.store.RowChanges;
 import org.snipewick.store.RowPage;
@@ -32,6 +33,7 @@
   private Optional<ReaderCall> inFlight = Optional.empty();
   private Optional<InstanceId> proofReader = Optional.empty();
   private long proofNumber;
+  private long era = EraTracker.NO_ERA;
 
   SharedTableFeed(
       String table,
@@ -67,7 +69,8 @@
                 served.recordFailure();
               } else if (after.isEmpty()) {
                 proofReader = Optional.empty();
-                served.recordRows(page.value().version(), page.provenAt());
+                era = page.value().era();
+                served.recordRows(page.value(), page.provenAt());
                 recordProof(page.provenAt());
               }
             });
@@ -165,8 +168,7 @@
 
     private FeedMessages.Query query(long version, Duration wait) {
       long knownProof = proofReader.filter(reader::equals).isPresent() ? proofNumber : 0;
-      return new FeedMessages.Query(
-          table, version, wait.toMillis(), knownProof, FeedMessages.NO_ERA);
+      return new FeedMessages.Query(table, version, wait.toMillis(), knownProof, era);
     }
 
     void start(Duration maxDuration) {
--- a/snipewick/src/main/java/org/snipewick/platform/FrontProcess.java
+++ b/snipewick/src/main/java/org/snipewick/platform/FrontProcess.java
@@ -43,6 +43,7 @@
 import org.snipewick.relay.RelayServer;
 import org.snipewick.route.PlanController;
 import org.snipewick.route.TeamQuota;
+import org.snipewick.store.EraTracker;
 import org.snipewick.store.MirrorListener;
 import org.snipewick.store.PollSchedule;
 import org.snipewick.store.TableMirror;
@@ -133,6 +134,7 @@
   private final TimerService timer;
   private final Timeline events;
   private final MetricRegistry metrics = new MetricRegistry();
+  private final EraTracker eras;
   private final PlanController plans;
   private final TeamQuotas quotas;
   private final MemoryAccount memory;
@@ -156,11 +158,18 @@
     quotas =
         TeamQuotas.of(
             settings.instance(), settings.quotas(), this::quotaOf, timer, events, metrics);
+    eras = EraTracker.of(timer, events);
     HttpTransport transport = HttpTransport.of(eventloop, CONNECT_TIMEOUT, MAX_BODY_BYTES);
     SingleAttemptStore store =
         SingleAttemptStore.of(
             StoreClient.of(
-                eventloop, Runnable::run, transport, settings.store(), STORE_TIMEOUT, () -> {}));
+                eventloop,
+                Runnable::run,
+                transport,
+                settings.store(),
+                STORE_TIMEOUT,
+                eras,
+                () -> {}));
     memory =
         MemoryAccount.of(
             Runtime.getRuntime().maxMemory() / HEAP_DIVISOR_FOR_KEPT_BYTES,
@@ -230,7 +239,7 @@
     FleetMember self =
         new FleetMember(settings.instance(), settings.domain(), settings.peers(), settings.cores());
     CompletableFuture<Void> unused =
-        InstanceRegistration.start(store, self, timer, events, new SplittableRandom())
+        InstanceRegistration.start(store, self, timer, events, new SplittableRandom(), eras)
             .thenAccept(incarnation -> joinFleet(self, store, incarnation, configuration));
   }
 
@@ -268,7 +277,7 @@
             peerTimer,
             events,
             new SplittableRandom());
-    quotas.join(network, eventloop, store, store, incarnation);
+    quotas.join(network, eventloop, store, store, incarnation, eras);
     BrokeredPlacer placer =
         BrokeredPlacer.start(
             self,
--- a/snipewick/src/main/java/org/snipewick/store/TableMirror.java
+++ b/snipewick/src/main/java/org/snipewick/store/TableMirror.java
@@ -10,15 +10,18 @@
 import java.util.random.RandomGenerator;
 import org.snipewick.event.EventLog;
 import org.snipewick.event.EventType;
+import org.snipewick.failure.Failure;
 import org.snipewick.failure.FailureException;
+import org.snipewick.failure.FailureType;
 import org.snipewick.time.TimerService;
 
 /**
  * Mirror of a table of the store, which passes all rows and then each change to a listener. It
  * polls for the changes. Each poll waits only a short time, because a connection that has failed
  * without notice is detected only when a call on it times out. No change between the read of all
- * rows and the first poll is lost, as polling starts at the version of the first page. Not
- * thread-safe: to be used on the thread on which the reader's futures complete.
+ * rows and the first poll is lost, as polling starts at the version of the first page. In a new era
+ * of the store, all rows are read again. Not thread-safe: to be used on the thread on which the
+ * reader's futures complete.
  */
 public final class TableMirror {
   private static final long BASE_BACKOFF_MILLIS = 50;
@@ -40,6 +43,7 @@
   private final RandomGenerator random;
   private final MirrorListener listener;
   private long version = NO_VERSION;
+  private Optional<Long> era = Optional.empty();
   private int failures;
   private boolean closed;
 
@@ -135,14 +139,25 @@
                 onFailure(thrown);
                 return;
               }
-              rowsSoFar.addAll(page.value().rows());
+              RowPage current = page.value();
               Proven<RowPage> first = earlierFirst.orElse(page);
-              if (page.value().isTruncated() && !page.value().rows().isEmpty()) {
+              if (first.value().era() != current.era()
+                  || current.era() < era.orElse(current.era())) {
+                onFailure(eraFailure("page of era " + current.era()));
+                return;
+              }
+              rowsSoFar.addAll(current.rows());
+              if (current.isTruncated() && !current.rows().isEmpty()) {
                 readRemaining(rowsSoFar, Optional.of(first));
                 return;
               }
               version = first.value().version();
+              boolean isNewEra = current.era() != era.orElse(current.era());
+              era = Optional.of(current.era());
               onSuccess();
+              if (isNewEra) {
+                notifyListener(listener::onNewEra);
+              }
               notifyListener(() -> listener.onRows(List.copyOf(rowsSoFar), first.provenAt()));
               sendNext();
             });
@@ -154,6 +169,9 @@
             (changes, thrown) -> {
               if (thrown != null) {
                 onFailure(thrown);
+              } else if (changes.value() instanceof RowChanges.Delta delta
+                  && !isOfEra(delta.era())) {
+                onHistoryLost("changes of era " + delta.era() + " instead of " + era.get());
               } else if (changes.value() instanceof RowChanges.Delta delta) {
                 version = Math.max(version, delta.version());
                 onSuccess();
@@ -165,6 +183,15 @@
             });
   }
 
+  private boolean isOfEra(long other) {
+    return era.filter(known -> known == other).isPresent();
+  }
+
+  private static FailureException eraFailure(String detail) {
+    return Failure.notRun(FailureType.PLATFORM_UNAVAILABLE, detail + " while reading another one")
+        .toException();
+  }
+
   private void sendAfter(RowChanges.Delta delta) {
     boolean isEmpty = delta.written().isEmpty() && delta.removedKeys().isEmpty();
     if (isEmpty || schedule.pauseAfterChange().isZero()) {
