Test a front whose callers do not finish their requests

Callers may send heads and empty lines without end and many chunked bodies that stop just short of their end. Logs of failed tests are cut to their last 2 MB, as printing 2 GB threw.

--- a/bench/src/main/java/org/snipewick/bench/cluster/ChildProcess.java
+++ b/bench/src/main/java/org/snipewick/bench/cluster/ChildProcess.java
@@ -1,7 +1,9 @@
 package org.snipewick.bench.cluster;
 
 import java.io.IOException;
+import java.io.RandomAccessFile;
 import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -14,6 +16,7 @@
 public final class ChildProcess implements AutoCloseable {
   private static final Path BINARY_DIRECTORY = findBinaryDirectory();
   private static final long BYTES_PER_KILOBYTE = 1024;
+  private static final long MAX_PRINTED_LOG_BYTES = 2_000_000;
   private static final long STOP_TIMEOUT_SECONDS = 10;
   private static final String JAVA_OPTIONS = "-Xmx160m -XX:+UseSerialGC -XX:TieredStopAtLevel=1";
 
@@ -58,6 +61,26 @@
       Path directory, String name, String binary, List<String> arguments, String javaOptions) {
     List<String> command = new ArrayList<>(List.of(binaryFile(binary).toString()));
     command.addAll(arguments);
+    return launch(directory, name, command, javaOptions);
+  }
+
+  /** Starts a binary as above, with a lowered limit of open descriptors. */
+  static ChildProcess startWithDescriptorLimit(
+      Path directory,
+      String name,
+      String binary,
+      List<String> arguments,
+      String javaOptions,
+      int maxDescriptors) {
+    String script = "ulimit -n " + maxDescriptors + " && exec \"$@\"";
+    List<String> command =
+        new ArrayList<>(List.of("sh", "-c", script, "sh", binaryFile(binary).toString()));
+    command.addAll(arguments);
+    return launch(directory, name, command, javaOptions);
+  }
+
+  private static ChildProcess launch(
+      Path directory, String name, List<String> command, String javaOptions) {
     try {
       Path output = directory.resolve(name + "-" + System.nanoTime() + ".out");
       ProcessBuilder builder = new ProcessBuilder(command);
@@ -103,6 +126,24 @@
     }
   }
 
+  /** Returns the end of {@link #log()}, so that a log of some gigabytes can be printed. */
+  String endOfLog() {
+    Path errors = output.resolveSibling(output.getFileName() + ".log");
+    return endOf(output) + endOf(errors);
+  }
+
+  private static String endOf(Path file) {
+    try (RandomAccessFile opened = new RandomAccessFile(file.toFile(), "r")) {
+      int length = (int) Math.min(opened.length(), MAX_PRINTED_LOG_BYTES);
+      byte[] end = new byte[length];
+      opened.seek(opened.length() - length);
+      opened.readFully(end);
+      return new String(end, StandardCharsets.UTF_8);
+    } catch (IOException failure) {
+      throw new UncheckedIOException(failure);
+    }
+  }
+
   /** Returns the name of the instance or endpoint. */
   String name() {
     return name;
@@ -175,16 +216,52 @@
     return process.pid();
   }
 
+  /**
+   * Returns whether the process runs.
+   *
+   * @return whether it has not ended
+   */
+  public boolean isAlive() {
+    return process.isAlive();
+  }
+
+  /**
+   * Returns the number of descriptors that the process has open.
+   *
+   * @return number of open files and sockets
+   */
+  public long openDescriptors() {
+    try (Stream<Path> descriptors =
+        Files.list(Path.of("/proc", Long.toString(process.pid()), "fd"))) {
+      return descriptors.count();
+    } catch (IOException failure) {
+      throw new UncheckedIOException(failure);
+    }
+  }
+
   /**
    * Returns the resident memory of the process.
    *
    * @return bytes
    */
   public long residentBytes() {
+    return statusBytes("VmRSS:");
+  }
+
+  /**
+   * Returns the largest resident memory that the process has had since its start.
+   *
+   * @return bytes
+   */
+  public long peakResidentBytes() {
+    return statusBytes("VmHWM:");
+  }
+
+  private long statusBytes(String field) {
     try (Stream<String> lines =
         Files.lines(Path.of("/proc", Long.toString(process.pid()), "status"))) {
       return lines
-          .filter(line -> line.startsWith("VmRSS:"))
+          .filter(line -> line.startsWith(field))
           .mapToLong(line -> Long.parseLong(line.replaceAll("\\D", "")) * BYTES_PER_KILOBYTE)
           .sum();
     } catch (IOException failure) {
--- a/bench/src/main/java/org/snipewick/bench/cluster/FrontInstance.java
+++ b/bench/src/main/java/org/snipewick/bench/cluster/FrontInstance.java
@@ -5,6 +5,8 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.http.HttpResponse;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -13,6 +15,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BiFunction;
 
 /**
  * The front process of this system, run on a stand-in for the users' platform; each is a process of
@@ -31,11 +34,11 @@
   private final ChildProcess store;
   private final ChildProcess process;
 
-  private FrontInstance() {
+  private FrontInstance(BiFunction<Processes, Path, ChildProcess> startFront) {
     Processes processes = new Processes(directory);
     processes.startStandIn("platform", List.of("platform", "--port", Integer.toString(storePort)));
     store = processes.find("platform");
-    process = processes.startFront("front-1", settingsFile());
+    process = startFront.apply(processes, settingsFile());
   }
 
   /**
@@ -45,7 +48,20 @@
    * @return running instance
    */
   public static FrontInstance start() {
-    return new FrontInstance();
+    return new FrontInstance((processes, settings) -> processes.startFront("front-1", settings));
+  }
+
+  /**
+   * Starts the front and the store as {@link #start()} does, the front with lowered limits.
+   *
+   * @param heapMegabytes maximum heap of the front
+   * @param maxDescriptors maximum number of files and sockets that the front may have open
+   * @return running instance
+   */
+  public static FrontInstance startWithLimits(int heapMegabytes, int maxDescriptors) {
+    return new FrontInstance(
+        (processes, settings) ->
+            processes.startLimitedFront("front-1", settings, heapMegabytes, maxDescriptors));
   }
 
   private Path settingsFile() {
@@ -91,6 +107,28 @@
     return "http://127.0.0.1:" + storePort + path;
   }
 
+  /**
+   * Returns the address for callers.
+   *
+   * @return address on this host
+   */
+  public InetSocketAddress callers() {
+    return new InetSocketAddress(InetAddress.getLoopbackAddress(), callersPort);
+  }
+
+  /**
+   * Sends a POST request to the address for callers.
+   *
+   * @param path path
+   * @param body body
+   * @param headers headers by name
+   * @return response
+   */
+  public CompletableFuture<HttpResponse<String>> sendPost(
+      String path, String body, Map<String, String> headers) {
+    return Http.send("POST", "http://127.0.0.1:" + callersPort + path, body, headers);
+  }
+
   /**
    * Sends a GET request to the address for callers.
    *
--- a/bench/src/main/java/org/snipewick/bench/cluster/Processes.java
+++ b/bench/src/main/java/org/snipewick/bench/cluster/Processes.java
@@ -65,6 +65,22 @@
     return startProduct("front", name, settings);
   }
 
+  /** Starts a front of the users' platform with a lowered heap and limit of open descriptors. */
+  ChildProcess startLimitedFront(
+      String name, Path settings, int heapMegabytes, int maxDescriptors) {
+    ChildProcess process =
+        ChildProcess.startWithDescriptorLimit(
+            directory,
+            name,
+            PRODUCT_BINARY,
+            List.of("front", "--settings", settings.toString()),
+            " -Xmx" + heapMegabytes + "m",
+            maxDescriptors);
+    byName.put(name, process);
+    started.add(process);
+    return process;
+  }
+
   private ChildProcess startProduct(String command, String name, Path settings) {
     ChildProcess process =
         start(name, PRODUCT_BINARY, List.of(command, "--settings", settings.toString()));
@@ -109,14 +125,14 @@
   }
 
   /**
-   * Returns what all processes wrote, including those that were replaced, and what instances in
-   * this JVM have logged.
+   * Returns what all processes wrote last, including those that were replaced, and what instances
+   * in this JVM have logged.
    *
    * @return logs, each under the name of its process
    */
   public String logs() {
     return Stream.concat(
-            started.stream().map(each -> "--- " + each.name() + "\n" + each.log()),
+            started.stream().map(each -> "--- " + each.name() + "\n" + each.endOfLog()),
             logsInThisJvm.keySet().stream()
                 .sorted()
                 .map(name -> "--- " + name + " (in this JVM)\n" + logInThisJvm(name)))
