Bound what callers that do not finish can take

A crowd of chunked bodies that stop just short left ordinary callers without a response. Two causes were found: the decoder takes about a microsecond a chunk and each connection decoded its whole buffer in each pass of the event loop, so that passes took seconds; and connections were not bounded, so that no descriptor was left and accepting failed again and again, with gigabytes of log lines. The memory account was not the cause, but incomplete bodies could fill it.

Bodies now read a bounded number of pieces in turns. Incomplete bodies share half of the memory account, and those without progress for 2 s give way first. Open connections are bounded by half of the descriptors and one per 64 KiB of heap; at the limit the connection whose request is incomplete for longest without progress is closed, and accepted connections wait for the next pass, when its descriptor is released.

--- a/snipewick/src/main/java/org/snipewick/event/EventType.java
+++ b/snipewick/src/main/java/org/snipewick/event/EventType.java
@@ -118,6 +118,13 @@
   ROW_MALFORMED(512, Level.WARNING, "row malformed"),
   /** A peer connection failed or sent a malformed frame. */
   PEER_FAILED(600, Level.WARNING, "peer connection failed"),
+  /**
+   * The maximum number of callers' connections was reached; connections without a complete request
+   * were closed.
+   */
+  CONNECTIONS_LIMITED(601, Level.WARNING, "caller connections limited"),
+  /** Incomplete bodies of requests without progress lost their memory to other requests. */
+  BODY_GAVE_WAY(602, Level.WARNING, "incomplete bodies gave way"),
   /** An error was caught that is a defect of the program. */
   INTERNAL_ERROR(900, Level.SEVERE, "internal error");
 
--- a/snipewick/src/main/java/org/snipewick/relay/RelayServer.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayServer.java
@@ -16,6 +16,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.snipewick.event.EventType;
 import org.snipewick.identity.EndpointId;
 import org.snipewick.identity.InstanceId;
 import org.snipewick.registry.RegisteredEndpoint;
@@ -23,6 +24,7 @@
 import org.snipewick.route.RoutingPlan;
 import org.snipewick.time.TimerService;
 import org.snipewick.transport.CallerConnections;
+import org.snipewick.transport.ConnectionLimit;
 
 /** HTTP server that relays requests to endpoints. Used on one event loop only. */
 public final class RelayServer {
@@ -49,6 +51,14 @@
     connections =
         CallerConnections.of(
             eventloop, this::headerTimeoutMillis, RelayServer::malformedRequestResponse);
+    CountedEvent limited =
+        new CountedEvent(
+            EventType.CONNECTIONS_LIMITED,
+            dependencies.events(),
+            dependencies.timer(),
+            dependencies.metrics().counter("relay_connections_limited"));
+    connections.setLimit(ConnectionLimit.ofProcess(), limited::record);
+    dependencies.metrics().gauge("relay_connections", () -> connections::size);
     servlet = new RelayServlet(dependencies, dispatcher, connections);
     server =
         AsyncHttpServer.create(eventloop, servlet)
--- a/snipewick/src/main/java/org/snipewick/relay/RelayServlet.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayServlet.java
@@ -11,6 +11,7 @@
 import io.activej.promise.Promises;
 import java.time.Duration;
 import java.util.Optional;
+import org.snipewick.event.EventType;
 import org.snipewick.failure.Failure;
 import org.snipewick.failure.FailureException;
 import org.snipewick.failure.FailureType;
@@ -38,7 +39,14 @@
     this.dispatcher = requireNonNull(dispatcher, "dispatcher");
     this.connections = requireNonNull(connections, "connections");
     this.telemetry = new RelayTelemetry(dependencies);
-    this.requestBodies = new RequestBodies(dependencies.memory());
+    CountedEvent gaveWay =
+        new CountedEvent(
+            EventType.BODY_GAVE_WAY,
+            dependencies.events(),
+            dependencies.timer(),
+            dependencies.metrics().counter("relay_bodies_gave_way"));
+    this.requestBodies =
+        new RequestBodies(dependencies.memory(), dependencies.timer(), gaveWay::record);
     this.filterChain =
         new RouteFilter(dependencies.plans())
             .before(
@@ -82,14 +90,20 @@
       connections.closeAfterResponse(received.getConnection());
       return Promise.of(problemResponse("", malformed(error.get())));
     }
+    connections.beginBody(connection);
     return requestBodies
-        .read(received.takeBodyStream(), headers.contentLength(), maxBodyBytes())
+        .read(
+            received.takeBodyStream(),
+            headers.contentLength(),
+            maxBodyBytes(),
+            () -> connections.recordProgress(connection))
         .then(
             body -> relay(received, headers, body, receivedNanos),
             thrown -> Promise.of(bodyNotRead(received, headers, thrown)));
   }
 
   private HttpResponse bodyNotRead(HttpRequest received, Headers headers, Exception thrown) {
+    connections.endRequest(received.getConnection(), dependencies.timer().nanoTime());
     if (thrown instanceof FailureException refused) {
       String id = headers.first(dependencies.headerNames().requestId()).orElse("");
       telemetry.bodyRefused(id, refused.failure());
--- a/snipewick/src/main/java/org/snipewick/relay/RequestBodies.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RequestBodies.java
@@ -11,28 +11,37 @@
 import org.snipewick.failure.Failure;
 import org.snipewick.failure.FailureType;
 import org.snipewick.memory.MemoryAccount;
+import org.snipewick.time.TimerService;
 
 /**
  * Buffers the bodies of requests. Answers a load of many large bodies: they share a part of the
- * memory account, so that requests with small ones are served meanwhile. Used on one event loop
- * only.
+ * memory account, so that requests with small ones are served meanwhile. Bodies take turns, see
+ * {@link BodyTurns}. Used on one event loop only.
  */
 final class RequestBodies {
   /** Size from which a body counts as large. */
   static final int LARGE_BODY_BYTES = 64 * 1024;
 
-  /** Part of the account, as its divisor, that is open to large bodies. */
-  private static final int ACCOUNT_DIVISOR_FOR_LARGE_BODIES = 2;
-
   /** Time in which endpoints answer a few requests, so that memory becomes free. */
   private static final Duration RETRY_AFTER = Duration.ofMillis(500);
 
   private static final byte[] NO_BYTES = new byte[0];
 
   private final MemoryAccount memory;
+  private final IncompleteBodies incomplete;
+  private final BodyTurns turns;
 
-  RequestBodies(MemoryAccount memory) {
+  /**
+   * Creates a buffer of bodies.
+   *
+   * @param memory account of the bytes that are kept
+   * @param timer source of time, on the event loop of the bodies
+   * @param onGaveWay listener to bodies that lost their bytes before they were complete
+   */
+  RequestBodies(MemoryAccount memory, TimerService timer, Runnable onGaveWay) {
     this.memory = requireNonNull(memory, "memory");
+    incomplete = new IncompleteBodies(memory, timer, onGaveWay);
+    turns = new BodyTurns(timer);
   }
 
   /**
@@ -42,16 +51,17 @@
    * @param body body of a request
    * @param declaredBytes size that the request states; 0 if it states none
    * @param maxBytes maximum size
+   * @param onProgress listener to the arrival of a further part of the body
    * @return kept body; fails if it breaks off or is too large, or with a {@link
    *     org.snipewick.failure.FailureException} if it cannot be kept
    */
-  Promise<KeptBody> read(ChannelSupplier<ByteBuf> body, long declaredBytes, int maxBytes) {
-    KeptBody kept = new KeptBody(memory);
-    Reception reception = new Reception(kept, maxBytes);
+  Promise<KeptBody> read(
+      ChannelSupplier<ByteBuf> body, long declaredBytes, int maxBytes, Runnable onProgress) {
+    Reception reception = new Reception(body, new KeptBody(memory), maxBytes, onProgress);
     if (declaredBytes <= maxBytes) {
       reception.reserve(declaredBytes);
     }
-    Pieces.read(body::get, reception::handle);
+    reception.readOn();
     return reception.result;
   }
 
@@ -63,48 +73,72 @@
 
   /** Reception of one body. */
   private final class Reception {
+    private final ChannelSupplier<ByteBuf> source;
     private final KeptBody kept;
     private final int maxBytes;
+    private final Runnable onProgress;
+    private final IncompleteBodies.Body share = incomplete.open(this::discard);
+    private final BodyTurns.Reader reader = turns.newReader();
     private final SettablePromise<KeptBody> result = new SettablePromise<>();
     private long receivedBytes;
     private boolean isDiscarded;
 
-    Reception(KeptBody kept, int maxBytes) {
+    Reception(ChannelSupplier<ByteBuf> source, KeptBody kept, int maxBytes, Runnable onProgress) {
+      this.source = source;
       this.kept = kept;
       this.maxBytes = maxBytes;
+      this.onProgress = onProgress;
       kept.onEvicted(this::discard);
     }
 
+    /**
+     * Reads until the body ends, a piece has not arrived yet or the next one is due in a later
+     * turn. Pieces that are there at once are handled in a loop, as nested promises would overflow
+     * the stack if there are many.
+     */
+    void readOn() {
+      while (!result.isComplete() && reader.tryNext(this::readOn)) {
+        Promise<ByteBuf> next = source.get();
+        if (!next.isComplete()) {
+          next.run(
+              (piece, thrown) -> {
+                handle(piece, thrown);
+                readOn();
+              });
+          return;
+        }
+        handle(next.getResult(), next.getException());
+      }
+    }
+
     /** Reserves memory for bytes that have not arrived yet. */
     void reserve(long bytes) {
       long missingBytes = bytes - kept.reservedBytes();
-      if (missingBytes > 0 && (isTooLargeNow(bytes) || !kept.tryReserve(missingBytes))) {
+      if (missingBytes > 0
+          && (!share.tryReserve(missingBytes, bytes > LARGE_BODY_BYTES)
+              || !kept.tryReserve(missingBytes))) {
         discard();
       }
     }
 
-    private boolean isTooLargeNow(long bytes) {
-      long availableBytes = memory.limitBytes() / ACCOUNT_DIVISOR_FOR_LARGE_BODIES;
-      return bytes > LARGE_BODY_BYTES
-          && memory.heldBytes() + bytes - kept.reservedBytes() > availableBytes;
-    }
-
-    boolean handle(ByteBuf piece, Exception thrown) {
+    private void handle(ByteBuf piece, Exception thrown) {
       if (thrown != null) {
-        kept.close();
+        discard();
         result.trySetException(thrown);
       } else if (piece == null) {
         end();
       } else {
         accept(piece.asArray());
       }
-      return !result.isComplete();
     }
 
     private void accept(byte[] bytes) {
       receivedBytes += bytes.length;
+      if (share.recordReceived(receivedBytes)) {
+        onProgress.run();
+      }
       if (receivedBytes > maxBytes) {
-        kept.close();
+        discard();
         result.trySetException(new IllegalStateException("body is larger than " + maxBytes));
         return;
       }
@@ -121,6 +155,7 @@
     }
 
     private void end() {
+      share.close();
       if (isDiscarded) {
         result.trySetException(cannotKeep().toException());
       } else {
@@ -130,6 +165,7 @@
 
     private void discard() {
       isDiscarded = true;
+      share.close();
       kept.close();
     }
   }
--- /dev/null
+++ b/snipewick/src/main/java/org/snipewick/transport/CallerConnection.java
@@ -0,0 +1,104 @@
+package org.snipewick.transport;
+
+import io.activej.http.HttpServerConnection;
+import io.activej.http.PoolLabel;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
+
+/** State of one connection and of the request that is being served on it. */
+final class CallerConnection {
+  private final SocketChannel channel;
+
+  /** Listener of the request that is being served; null if there is none. */
+  Runnable onDisconnected;
+
+  /** Start of the header timeout, by the monotonic clock; 0 if it has not started yet. */
+  long headersAwaitedSinceNanos;
+
+  boolean hasServed;
+  private boolean inputClosed;
+  boolean isClosing;
+  boolean isReceivingBody;
+
+  /** Position of the latest progress in the order of those of all connections. */
+  long progress;
+
+  CallerConnection(SocketChannel channel, long progress) {
+    this.channel = channel;
+    this.progress = progress;
+  }
+
+  /** Returns whether a request is awaited or is arriving for the first time, or has a body. */
+  boolean isIncomplete(HttpServerConnection key) {
+    PoolLabel pool = key.getCurrentPool();
+    boolean isHeadAwaited = pool == PoolLabel.NEW || pool == PoolLabel.READ_WRITE;
+    return isReceivingBody || (isHeadAwaited && !hasServed && onDisconnected == null);
+  }
+
+  /** Returns whether a request is being served or its response is not yet fully written. */
+  boolean isInUse(HttpServerConnection key) {
+    return switch (key.getCurrentPool()) {
+      case SERVING -> true;
+      case READ_WRITE -> onDisconnected != null || hasServed;
+      default -> onDisconnected != null;
+    };
+  }
+
+  /**
+   * Detects that the caller has closed its side. Reads the byte that the server would read next; if
+   * there is one, it belongs to a further request, and the input of the connection is closed.
+   */
+  void probe() {
+    if (inputClosed) {
+      return;
+    }
+    try {
+      int count = channel.read(ByteBuffer.allocate(1));
+      if (count < 0) {
+        disconnected();
+      } else if (count > 0) {
+        shutdownInput();
+      }
+    } catch (IOException broken) {
+      disconnected();
+    }
+  }
+
+  void disconnected() {
+    inputClosed = true;
+    Runnable listener = onDisconnected;
+    onDisconnected = null;
+    listener.run();
+  }
+
+  void close() {
+    try {
+      channel.close();
+    } catch (IOException closed) {
+      // The connection is closed already.
+      return;
+    }
+  }
+
+  /** Sends a short response without waiting and closes the output. */
+  void sendFinalResponse(ByteBuffer response) {
+    try {
+      channel.write(response);
+      channel.shutdownOutput();
+    } catch (IOException closed) {
+      // The caller has disconnected, so there is nobody to send the response to.
+      return;
+    }
+  }
+
+  void shutdownInput() {
+    inputClosed = true;
+    try {
+      channel.shutdownInput();
+    } catch (IOException closed) {
+      // The connection is closed already.
+      return;
+    }
+  }
+}
--- a/snipewick/src/main/java/org/snipewick/transport/CallerConnections.java
+++ b/snipewick/src/main/java/org/snipewick/transport/CallerConnections.java
@@ -2,6 +2,7 @@
 
 import static java.util.Objects.requireNonNull;
 
+import io.activej.async.exception.AsyncCloseException;
 import io.activej.eventloop.Eventloop;
 import io.activej.eventloop.net.SocketSettings;
 import io.activej.http.AsyncHttpServer;
@@ -9,14 +10,16 @@
 import io.activej.http.HttpResponse;
 import io.activej.http.HttpServerConnection;
 import io.activej.http.MalformedHttpException;
+import io.activej.http.PoolLabel;
 import io.activej.net.WorkerServer;
-import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
+import java.util.Comparator;
 import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.LongSupplier;
 
 /**
@@ -28,13 +31,20 @@
 public final class CallerConnections implements WorkerServer, AsyncHttpServer.Inspector {
   private static final long NANOS_PER_MILLI = 1_000_000;
 
+  /** Part of the maximum number of connections, as its divisor, that may wait to be opened. */
+  private static final int WAITING_DIVISOR = 4;
+
   private final Eventloop eventloop;
   private final LongSupplier headerTimeoutMillis;
   private final MalformedRequestResponder malformedRequestResponder;
-  private final IdentityHashMap<HttpServerConnection, Connection> connections =
+  private final IdentityHashMap<HttpServerConnection, CallerConnection> connections =
       new IdentityHashMap<>();
   private AsyncHttpServer server;
   private SocketChannel acceptedChannel;
+  private int maxConnections = Integer.MAX_VALUE;
+  private Runnable onLimited = () -> {};
+  private long progressCount;
+  private AcceptQueue acceptQueue;
   private volatile boolean empty = true;
 
   private CallerConnections(
@@ -45,6 +55,7 @@
     this.headerTimeoutMillis = requireNonNull(headerTimeoutMillis, "headerTimeoutMillis");
     this.malformedRequestResponder =
         requireNonNull(malformedRequestResponder, "malformedRequestResponder");
+    acceptQueue = new AcceptQueue(eventloop, Integer.MAX_VALUE, this::open, onLimited);
   }
 
   /**
@@ -86,6 +97,31 @@
     this.server = server;
   }
 
+  /**
+   * Limits the number of open connections. If it is reached, the connection whose request has been
+   * incomplete for longest without progress is closed, or an idle one; if there is none, a new
+   * connection is closed.
+   *
+   * @param limit maximum number of connections
+   * @param onLimited listener that is called for each connection that is closed
+   */
+  public void setLimit(ConnectionLimit limit, Runnable onLimited) {
+    this.maxConnections = limit.maxConnections();
+    this.onLimited = requireNonNull(onLimited, "onLimited");
+    acceptQueue =
+        new AcceptQueue(
+            eventloop, Math.max(1, maxConnections / WAITING_DIVISOR), this::open, onLimited);
+  }
+
+  /**
+   * Returns the number of open connections.
+   *
+   * @return number of connections
+   */
+  public int size() {
+    return connections.size();
+  }
+
   @Override
   public Eventloop getEventloop() {
     return eventloop;
@@ -98,14 +134,82 @@
       InetSocketAddress remote,
       boolean ssl,
       SocketSettings settings) {
-    acceptedChannel = channel;
+    var accepted = new AcceptQueue.Accepted(channel, local, remote, ssl, settings);
+    if (connections.size() < maxConnections && acceptQueue.isEmpty()) {
+      open(accepted);
+    } else {
+      acceptQueue.add(accepted);
+    }
+  }
+
+  private void open(AcceptQueue.Accepted accepted) {
+    if (connections.size() >= maxConnections && !makeRoom()) {
+      eventloop.closeChannel(accepted.channel(), null);
+      return;
+    }
+    acceptedChannel = accepted.channel();
     try {
-      server.doAccept(channel, local, remote, ssl, settings);
+      server.doAccept(
+          accepted.channel(),
+          accepted.local(),
+          accepted.remote(),
+          accepted.ssl(),
+          accepted.settings());
     } finally {
       acceptedChannel = null;
     }
   }
 
+  /** Closes a connection that is not being served; returns whether there is room for another. */
+  private boolean makeRoom() {
+    onLimited.run();
+    Optional<Map.Entry<HttpServerConnection, CallerConnection>> givesWay =
+        connections.entrySet().stream()
+            .filter(entry -> entry.getValue().isIncomplete(entry.getKey()) || isIdle(entry))
+            .min(
+                Comparator.comparing(CallerConnections::isIdle)
+                    .thenComparingLong(entry -> entry.getValue().progress));
+    givesWay.ifPresent(
+        entry -> {
+          // A body that waits for its turn does not notice at once that its socket is closed.
+          onDisconnect(entry.getKey());
+          ConnectionSockets.of(entry.getKey())
+              .closeEx(new AsyncCloseException("connection limit reached"));
+        });
+    return givesWay.isPresent();
+  }
+
+  private static boolean isIdle(Map.Entry<HttpServerConnection, CallerConnection> entry) {
+    return entry.getKey().getCurrentPool() == PoolLabel.KEEP_ALIVE;
+  }
+
+  /**
+   * Marks that the body of a request is being received. Has no effect if the connection is not
+   * tracked.
+   *
+   * @param connection connection of the request
+   */
+  public void beginBody(HttpServerConnection connection) {
+    CallerConnection tracked = connections.get(connection);
+    if (tracked != null) {
+      tracked.isReceivingBody = true;
+      tracked.progress = ++progressCount;
+    }
+  }
+
+  /**
+   * Records that a further part of a body has arrived. Has no effect if the connection is not
+   * tracked.
+   *
+   * @param connection connection of the request
+   */
+  public void recordProgress(HttpServerConnection connection) {
+    CallerConnection tracked = connections.get(connection);
+    if (tracked != null) {
+      tracked.progress = ++progressCount;
+    }
+  }
+
   /**
    * Marks a request as being served. Has no effect if the connection is not tracked.
    *
@@ -114,8 +218,9 @@
    *     {@link #endRequest}
    */
   public void beginRequest(HttpServerConnection connection, Runnable onDisconnected) {
-    Connection tracked = connections.get(connection);
+    CallerConnection tracked = connections.get(connection);
     if (tracked != null) {
+      tracked.isReceivingBody = false;
       tracked.onDisconnected = onDisconnected;
     }
   }
@@ -128,10 +233,12 @@
    * @param nowNanos monotonic time in nanoseconds
    */
   public void endRequest(HttpServerConnection connection, long nowNanos) {
-    Connection tracked = connections.get(connection);
+    CallerConnection tracked = connections.get(connection);
     if (tracked != null) {
       tracked.onDisconnected = null;
+      tracked.isReceivingBody = false;
       tracked.hasServed = true;
+      tracked.progress = ++progressCount;
       tracked.headersAwaitedSinceNanos = nowNanos;
     }
   }
@@ -143,7 +250,7 @@
    * @param connection connection to close
    */
   public void closeAfterResponse(HttpServerConnection connection) {
-    Connection tracked = connections.get(connection);
+    CallerConnection tracked = connections.get(connection);
     if (tracked != null) {
       tracked.isClosing = true;
       tracked.shutdownInput();
@@ -158,7 +265,7 @@
    * @return whether the request must not be served
    */
   public boolean isClosing(HttpServerConnection connection) {
-    Connection tracked = connections.get(connection);
+    CallerConnection tracked = connections.get(connection);
     return tracked != null && tracked.isClosing;
   }
 
@@ -168,7 +275,7 @@
    * @param connection connection to close
    */
   public void close(HttpServerConnection connection) {
-    Connection tracked = connections.get(connection);
+    CallerConnection tracked = connections.get(connection);
     if (tracked != null) {
       tracked.close();
     }
@@ -190,8 +297,9 @@
    * @param nowNanos monotonic time in nanoseconds
    */
   public void probe(long nowNanos) {
-    for (Map.Entry<HttpServerConnection, Connection> entry : List.copyOf(connections.entrySet())) {
-      Connection connection = entry.getValue();
+    for (Map.Entry<HttpServerConnection, CallerConnection> entry :
+        List.copyOf(connections.entrySet())) {
+      CallerConnection connection = entry.getValue();
       if (connection.onDisconnected != null) {
         connection.probe();
       } else {
@@ -207,20 +315,13 @@
    */
   public boolean isBusy() {
     return connections.entrySet().stream()
-        .anyMatch(entry -> isInUse(entry.getKey(), entry.getValue()));
+        .anyMatch(entry -> entry.getValue().isInUse(entry.getKey()));
   }
 
   /** Closes all connections at once. */
   public void closeAll() {
-    List.copyOf(connections.values()).forEach(Connection::close);
-  }
-
-  private static boolean isInUse(HttpServerConnection key, Connection connection) {
-    return switch (key.getCurrentPool()) {
-      case SERVING -> true;
-      case READ_WRITE -> connection.onDisconnected != null || connection.hasServed;
-      default -> connection.onDisconnected != null;
-    };
+    acceptQueue.closeAll();
+    List.copyOf(connections.values()).forEach(CallerConnection::close);
   }
 
   /**
@@ -228,7 +329,7 @@
    * between requests, because no request has started.
    */
   private void closeInputIfHeadersAreLate(
-      HttpServerConnection key, Connection connection, long nowNanos) {
+      HttpServerConnection key, CallerConnection connection, long nowNanos) {
     boolean awaitsHeaders =
         switch (key.getCurrentPool()) {
           case NEW, READ_WRITE -> true;
@@ -245,14 +346,14 @@
   @Override
   public void onAccept(HttpServerConnection connection) {
     if (acceptedChannel != null) {
-      connections.put(connection, new Connection(acceptedChannel));
+      connections.put(connection, new CallerConnection(acceptedChannel, ++progressCount));
       empty = false;
     }
   }
 
   @Override
   public void onDisconnect(HttpServerConnection connection) {
-    Connection tracked = connections.remove(connection);
+    CallerConnection tracked = connections.remove(connection);
     empty = connections.isEmpty();
     if (tracked != null && tracked.onDisconnected != null) {
       tracked.disconnected();
@@ -271,7 +372,7 @@
   /** Responds if the body of a request turned out to be malformed while it was being received. */
   @Override
   public void onHttpError(HttpServerConnection connection, Exception thrown) {
-    Connection tracked = connections.get(connection);
+    CallerConnection tracked = connections.get(connection);
     boolean isReceiving = tracked != null && tracked.onDisconnected == null;
     if (isReceiving && thrown instanceof MalformedHttpException) {
       tracked.sendFinalResponse(malformedRequestResponder.render(thrown, new byte[0]));
@@ -282,7 +383,7 @@
   @Override
   public void onMalformedHttpRequest(
       HttpServerConnection connection, MalformedHttpException thrown, byte[] received) {
-    Connection tracked = connections.get(connection);
+    CallerConnection tracked = connections.get(connection);
     if (tracked != null) {
       tracked.sendFinalResponse(malformedRequestResponder.render(thrown, received));
     }
@@ -292,80 +393,4 @@
   public <T extends AsyncHttpServer.Inspector> T lookup(Class<T> type) {
     return type.isInstance(this) ? type.cast(this) : null;
   }
-
-  /** State of one connection and of the request that is being served on it. */
-  private static final class Connection {
-    private final SocketChannel channel;
-
-    /** Listener of the request that is being served; null if there is none. */
-    private Runnable onDisconnected;
-
-    /** Start of the header timeout, by the monotonic clock; 0 if it has not started yet. */
-    private long headersAwaitedSinceNanos;
-
-    private boolean hasServed;
-    private boolean inputClosed;
-    private boolean isClosing;
-
-    Connection(SocketChannel channel) {
-      this.channel = channel;
-    }
-
-    /**
-     * Detects that the caller has closed its side. Reads the byte that the server would read next;
-     * if there is one, it belongs to a further request, and the input of the connection is closed.
-     */
-    void probe() {
-      if (inputClosed) {
-        return;
-      }
-      try {
-        int count = channel.read(ByteBuffer.allocate(1));
-        if (count < 0) {
-          disconnected();
-        } else if (count > 0) {
-          shutdownInput();
-        }
-      } catch (IOException broken) {
-        disconnected();
-      }
-    }
-
-    void disconnected() {
-      inputClosed = true;
-      Runnable listener = onDisconnected;
-      onDisconnected = null;
-      listener.run();
-    }
-
-    void close() {
-      try {
-        channel.close();
-      } catch (IOException closed) {
-        // The connection is closed already.
-        return;
-      }
-    }
-
-    /** Sends a short response without waiting and closes the output. */
-    void sendFinalResponse(ByteBuffer response) {
-      try {
-        channel.write(response);
-        channel.shutdownOutput();
-      } catch (IOException closed) {
-        // The caller has disconnected, so there is nobody to send the response to.
-        return;
-      }
-    }
-
-    void shutdownInput() {
-      inputClosed = true;
-      try {
-        channel.shutdownInput();
-      } catch (IOException closed) {
-        // The connection is closed already.
-        return;
-      }
-    }
-  }
 }
--- a/snipewick/src/main/java/org/snipewick/transport/HttpTransport.java
+++ b/snipewick/src/main/java/org/snipewick/transport/HttpTransport.java
@@ -5,15 +5,11 @@
 import io.activej.common.MemSize;
 import io.activej.dns.protocol.DnsResponse;
 import io.activej.eventloop.Eventloop;
-import io.activej.http.AbstractHttpConnection;
 import io.activej.http.AsyncHttpClient;
 import io.activej.http.HttpClientConnection;
 import io.activej.http.HttpRequest;
 import io.activej.http.HttpResponse;
-import io.activej.net.socket.tcp.AsyncTcpSocket;
 import io.activej.promise.Promise;
-import java.lang.invoke.MethodHandles;
-import java.lang.invoke.VarHandle;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 
@@ -26,12 +22,6 @@
   /** Longer than any request; requests are cancelled earlier by the timers of their senders. */
   private static final Duration READ_WRITE_TIMEOUT = Duration.ofMinutes(11);
 
-  /**
-   * Access to the private socket field of a connection. The library has no way to close a
-   * connection before its response begins: its setter for a socket inspector sets the one for TLS.
-   */
-  private static final VarHandle SOCKET = socketField();
-
   private final AsyncHttpClient client;
 
   private HttpTransport(Eventloop eventloop, Duration connectTimeout, int maxBodyBytes) {
@@ -44,15 +34,6 @@
             .withInspector(new ConnectionInspector());
   }
 
-  private static VarHandle socketField() {
-    try {
-      return MethodHandles.privateLookupIn(AbstractHttpConnection.class, MethodHandles.lookup())
-          .findVarHandle(AbstractHttpConnection.class, "socket", AsyncTcpSocket.class);
-    } catch (ReflectiveOperationException otherVersion) {
-      throw new ExceptionInInitializerError(otherVersion);
-    }
-  }
-
   /**
    * Creates a client.
    *
@@ -72,7 +53,7 @@
    * @param request request to send
    * @param exchange new exchange, by which the request can be cancelled
    * @return promise that completes with the response when its headers have arrived, or fails if no
-   *     connection is established or it breaks before
+   *     connection is established, or it breaks before
    */
   public Promise<HttpResponse> send(HttpRequest request, Exchange exchange) {
     request.attach(Exchange.class, requireNonNull(exchange, "exchange"));
@@ -86,7 +67,7 @@
     public void onConnect(HttpRequest request, HttpClientConnection connection) {
       Exchange exchange = request.getAttachment(Exchange.class);
       if (exchange != null) {
-        exchange.connected((AsyncTcpSocket) SOCKET.get(connection));
+        exchange.connected(ConnectionSockets.of(connection));
       }
     }
 
