Refuse responses whose status does not have three digits

The HTTP client reads three digits of a status and ignores further ones, so that the status 2000 of an endpoint reached the caller as 200. An inspector of the socket now checks the raw start of the status line, and such a response is a failed attempt, which is retried where that is allowed.

--- a/snipewick/src/main/java/org/snipewick/transport/Exchange.java
+++ b/snipewick/src/main/java/org/snipewick/transport/Exchange.java
@@ -4,9 +4,11 @@
 
 import io.activej.async.exception.AsyncCloseException;
 import io.activej.net.socket.tcp.AsyncTcpSocket;
+import io.activej.net.socket.tcp.AsyncTcpSocketNio;
 
 /** State of one HTTP request on its own connection. To be used on one event loop only. */
 public final class Exchange {
+  private final StatusLineInspector statusLine = new StatusLineInspector();
   private AsyncTcpSocket socket;
   private boolean cancelled;
 
@@ -39,6 +41,11 @@
     return cancelled;
   }
 
+  /** Returns whether a response has begun whose status line is not valid. */
+  boolean hasMalformedStatusLine() {
+    return statusLine.isMalformed();
+  }
+
   /**
    * Closes the connection at once. A connection that is still being established is closed before it
    * is used.
@@ -60,6 +67,9 @@
       connection.closeEx(new AsyncCloseException("cancelled"));
     } else {
       socket = connection;
+      if (connection instanceof AsyncTcpSocketNio plain) {
+        plain.setInspector(statusLine);
+      }
     }
   }
 }
--- a/snipewick/src/main/java/org/snipewick/transport/HttpTransport.java
+++ b/snipewick/src/main/java/org/snipewick/transport/HttpTransport.java
@@ -9,6 +9,7 @@
 import io.activej.http.HttpClientConnection;
 import io.activej.http.HttpRequest;
 import io.activej.http.HttpResponse;
+import io.activej.http.MalformedHttpException;
 import io.activej.promise.Promise;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -53,11 +54,19 @@
    * @param request request to send
    * @param exchange new exchange, by which the request can be cancelled
    * @return promise that completes with the response when its headers have arrived, or fails if no
-   *     connection is established, or it breaks before
+   *     connection is established, it breaks before, or the status line is malformed
    */
   public Promise<HttpResponse> send(HttpRequest request, Exchange exchange) {
     request.attach(Exchange.class, requireNonNull(exchange, "exchange"));
-    return client.request(request);
+    return client.request(request).then(response -> checkStatusLine(response, exchange));
+  }
+
+  private static Promise<HttpResponse> checkStatusLine(HttpResponse response, Exchange exchange) {
+    if (!exchange.hasMalformedStatusLine()) {
+      return Promise.of(response);
+    }
+    exchange.cancel();
+    return Promise.ofException(new MalformedHttpException("status does not have three digits"));
   }
 
   /** Passes the socket of a connection to its exchange before anything is written to the socket. */
--- a/snipewick/src/test/java/org/snipewick/relay/RelayFixture.java
+++ b/snipewick/src/test/java/org/snipewick/relay/RelayFixture.java
@@ -178,6 +178,12 @@
     runOnEventLoop(() -> registry.replaceAll(listed));
   }
 
+  /** Sets the endpoint of a pool by its port. */
+  void setEndpointPort(String pool, int endpointPort) {
+    List<RegisteredEndpoint> listed = List.of(endpoint(pool, "e0", endpointPort));
+    runOnEventLoop(() -> registry.replaceAll(listed));
+  }
+
   private static RegisteredEndpoint endpoint(String pool, String id, int port) {
     return new RegisteredEndpoint(
         EndpointId.of(id), 1, PoolName.of(pool), DOMAIN, "127.0.0.1", port, SLOTS, false);
