Keep the limits that endpoints name over all instances

Endpoints name the requests per second that they take from all instances; the relay only logged it, so each instance sent by its own estimate and an endpoint that named 2 per second got 117 requests in 4 s. A request to such an endpoint now takes a permit, granted by the holders of the quota slots out of whole permits of a window; a holder that takes a slot grants none until those of an earlier one have ended. Limits travel with the reports, with their age, and end with a response that names none or with a restart. If all endpoints of a pool have limits, waiting and refusals follow the rate that is left.

--- a/snipewick/src/main/java/org/snipewick/fleet/FleetMessages.java
+++ b/snipewick/src/main/java/org/snipewick/fleet/FleetMessages.java
@@ -27,14 +27,28 @@
    *
    * @param slots numbers of the slots of quotas that the instance holds
    * @param inFlight number of requests in flight by endpoint; endpoints without any are omitted
+   * @param limits limits that responses to this instance named or ended lately, by endpoint
    */
   @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-  public record Report(Set<Integer> slots, Map<String, Integer> inFlight) implements PeerMessage {
+  public record Report(
+      Set<Integer> slots, Map<String, Integer> inFlight, Map<String, EndpointLimit> limits)
+      implements PeerMessage {
 
     /** Copies the components. */
     public Report {
       slots = Set.copyOf(slots);
       inFlight = Map.copyOf(inFlight);
+      limits = Map.copyOf(limits);
+    }
+
+    /**
+     * Creates a report without limits of endpoints.
+     *
+     * @param slots numbers of the slots of quotas that the instance holds
+     * @param inFlight number of requests in flight by endpoint
+     */
+    public Report(Set<Integer> slots, Map<String, Integer> inFlight) {
+      this(slots, inFlight, Map.of());
     }
   }
 
--- a/snipewick/src/main/java/org/snipewick/fleet/ReportAggregator.java
+++ b/snipewick/src/main/java/org/snipewick/fleet/ReportAggregator.java
@@ -26,7 +26,12 @@
   }
 
   /** Latest message of a sender. */
-  private record Received<T>(T message, long atNanos) {}
+  private record Received<T>(T message, long atNanos) {
+
+    long ageMillis(long nowNanos) {
+      return Duration.ofNanos(nowNanos - atNanos).toMillis();
+    }
+  }
 
   /** Sets the time for which a report or a sum counts as current. */
   void setValidity(Duration validity) {
@@ -84,7 +89,7 @@
     Totals totals = Totals.empty();
     for (Received<FleetMessages.GroupSum> group : otherGroups.values()) {
       if (isValid(group, nowNanos)) {
-        totals = totals.plus(group.message().totals());
+        totals = totals.plus(group.message().totals().aged(group.ageMillis(nowNanos)));
       }
     }
     return totals;
@@ -99,6 +104,8 @@
     Map<Integer, String> slots = new HashMap<>();
     Set<Integer> held = new HashSet<>(member.message().slots());
     held.forEach(slot -> slots.put(slot, instance.value()));
-    return new Totals(1, slots, member.message().inFlight());
+    FleetMessages.Report report = member.message();
+    return new Totals(1, slots, report.inFlight(), report.limits())
+        .aged(member.ageMillis(nowNanos));
   }
 }
--- a/snipewick/src/main/java/org/snipewick/fleet/Totals.java
+++ b/snipewick/src/main/java/org/snipewick/fleet/Totals.java
@@ -10,16 +10,32 @@
  * @param instances number of instances
  * @param slotHolders names of the instances that hold slots of quotas, by the number of the slot
  * @param inFlight number of requests in flight by endpoint; endpoints without any are omitted
+ * @param limits latest statement of each endpoint on its limit, if any was made lately
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record Totals(
-    int instances, Map<Integer, String> slotHolders, Map<String, Integer> inFlight) {
+    int instances,
+    Map<Integer, String> slotHolders,
+    Map<String, Integer> inFlight,
+    Map<String, EndpointLimit> limits) {
   private static final Totals EMPTY = new Totals(0, Map.of(), Map.of());
 
   /** Copies the maps. */
   public Totals {
     slotHolders = Map.copyOf(slotHolders);
     inFlight = Map.copyOf(inFlight);
+    limits = Map.copyOf(limits);
+  }
+
+  /**
+   * Creates totals without limits of endpoints.
+   *
+   * @param instances number of instances
+   * @param slotHolders names of the instances that hold slots of quotas
+   * @param inFlight number of requests in flight by endpoint
+   */
+  public Totals(int instances, Map<Integer, String> slotHolders, Map<String, Integer> inFlight) {
+    this(instances, slotHolders, inFlight, Map.of());
   }
 
   /**
@@ -45,11 +61,25 @@
     allHolders.putAll(other.slotHolders);
     Map<String, Integer> allInFlight = new HashMap<>(inFlight);
     other.inFlight.forEach((endpoint, count) -> allInFlight.merge(endpoint, count, Integer::sum));
-    return new Totals(instances + other.instances, allHolders, allInFlight);
+    Map<String, EndpointLimit> allLimits = new HashMap<>(limits);
+    other.limits.forEach(
+        (endpoint, limit) -> allLimits.merge(endpoint, limit, EndpointLimit::latest));
+    return new Totals(instances + other.instances, allHolders, allInFlight, allLimits);
+  }
+
+  /** Returns the totals as they are after a time in which they were kept. */
+  Totals aged(long millis) {
+    if (limits.isEmpty()) {
+      return this;
+    }
+    Map<String, EndpointLimit> aged = new HashMap<>(limits);
+    aged.replaceAll((endpoint, limit) -> limit.aged(millis));
+    return new Totals(instances, slotHolders, inFlight, aged);
   }
 
   /**
-   * Returns the totals without a part that they include.
+   * Returns the totals without a part that they include. Limits stay: they are no sums, and the
+   * instances of the part know theirs.
    *
    * @param part totals of some of the instances
    * @return differences
@@ -62,6 +92,6 @@
         (endpoint, count) ->
             remaining.computeIfPresent(
                 endpoint, (key, sum) -> sum.equals(count) ? null : sum - count));
-    return new Totals(instances - part.instances, otherHolders, remaining);
+    return new Totals(instances - part.instances, otherHolders, remaining, limits);
   }
 }
--- a/snipewick/src/main/java/org/snipewick/placement/PoolPlacement.java
+++ b/snipewick/src/main/java/org/snipewick/placement/PoolPlacement.java
@@ -35,6 +35,8 @@
    */
   private static final double REMOTE_COST_FACTOR = 1.3;
 
+  private static final double NANOS_PER_SECOND = 1e9;
+
   private final FailureDomain domain;
   private final QueueOrder order;
   private final WaitLimit waitLimit;
@@ -43,6 +45,7 @@
   private final List<WaitingRequest> waiting = new ArrayList<>();
   private final ResidenceTime residenceTime = new ResidenceTime();
   private final ReturnSchedule returns = new ReturnSchedule();
+  private EndpointPermits permits = EndpointPermits.UNLIMITED;
 
   private PoolPlacement(
       FailureDomain domain, QueueOrder order, WaitLimit waitLimit, RandomGenerator random) {
@@ -66,6 +69,15 @@
     return new PoolPlacement(domain, order, waitLimit, random);
   }
 
+  /**
+   * Sets the permits for endpoints with limits; without them no endpoint has one.
+   *
+   * @param endpointPermits permits, which are shared with the other pools
+   */
+  public void setPermits(EndpointPermits endpointPermits) {
+    permits = requireNonNull(endpointPermits, "endpointPermits");
+  }
+
   /**
    * Sets the number of instances that share the endpoints.
    *
@@ -177,11 +189,18 @@
         .anyMatch(load -> !load.endpoint().isLeaving() && maySendTo(load, request));
   }
 
-  /** Returns the time until an endpoint that may run the request has not asked for a pause. */
+  /**
+   * Returns the time until an endpoint that may run the request has neither asked for a pause nor
+   * exhausted its limit.
+   */
   private long shortestRequestedPauseNanos(WaitingRequest request, long nowNanos) {
     return endpoints.values().stream()
         .filter(load -> !load.endpoint().isLeaving() && maySendTo(load, request))
-        .mapToLong(load -> load.requestedPauseNanos(nowNanos))
+        .mapToLong(
+            load ->
+                Math.max(
+                    load.requestedPauseNanos(nowNanos),
+                    permits.expectedWaitNanos(load.endpoint().id(), nowNanos)))
         .min()
         .orElse(0);
   }
@@ -198,7 +217,10 @@
     List<EndpointLoad> local = new ArrayList<>();
     List<EndpointLoad> remote = new ArrayList<>();
     for (EndpointLoad load : endpoints.values()) {
-      if (load.isAvailable(nowNanos) && maySendTo(load, request) && load.freeSlots(nowNanos) > 0) {
+      if (load.isAvailable(nowNanos)
+          && maySendTo(load, request)
+          && load.freeSlots(nowNanos) > 0
+          && permits.isAvailable(load.endpoint().id(), nowNanos)) {
         (isRemote(load) ? remote : local).add(load);
       }
     }
@@ -241,6 +263,7 @@
   private PlacementDecision placed(WaitingRequest request, EndpointLoad load, long nowNanos) {
     int inFlight = load.estimatedInFlight(nowNanos);
     load.begin(request.promptTokens());
+    permits.use(load.endpoint().id(), nowNanos);
     return new PlacementDecision.Placed(request, load.endpoint(), inFlight, waiting.size() - 1);
   }
 
@@ -252,11 +275,23 @@
   /**
    * Estimates the time until the given number of slots becomes free. The requests that this
    * instance has in flight are assumed to end at an even rate, each after the mean residence time.
-   * Returns 0 before the first answer.
+   * Returns 0 before the first answer. If all endpoints have limits, no more requests can be placed
+   * than these allow.
    */
   private double expectedWaitNanos(int slots) {
     int inFlight = endpoints.values().stream().mapToInt(EndpointLoad::inFlight).sum();
-    return residenceTime.meanNanos().orElse(0) * slots / Math.max(1, inFlight);
+    double untilFree = residenceTime.meanNanos().orElse(0) * slots / Math.max(1, inFlight);
+    return Math.max(untilFree, slots * NANOS_PER_SECOND / permittedPerSecond());
+  }
+
+  /** Returns the sum of the limits of all accepting endpoints; infinite if one has none. */
+  private double permittedPerSecond() {
+    return endpoints.values().stream()
+        .filter(load -> !load.endpoint().isLeaving())
+        .mapToDouble(
+            load ->
+                permits.requestsPerSecond(load.endpoint().id()).orElse(Double.POSITIVE_INFINITY))
+        .sum();
   }
 
   /** Returns the time at which a refused request may return, and books a slot for it. */
--- a/snipewick/src/main/java/org/snipewick/platform/PeerReports.java
+++ b/snipewick/src/main/java/org/snipewick/platform/PeerReports.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.snipewick.fleet.EndpointLimit;
 import org.snipewick.fleet.Fleet;
 import org.snipewick.fleet.FleetMember;
 import org.snipewick.fleet.FleetMessages;
@@ -34,7 +35,9 @@
   FleetMessages.Report report() {
     Map<String, Integer> inFlight = new HashMap<>();
     relay.inFlightByEndpoint().forEach((endpoint, count) -> inFlight.put(endpoint.value(), count));
-    return new FleetMessages.Report(quotas.heldSlots(), inFlight);
+    Map<String, EndpointLimit> limits = new HashMap<>();
+    relay.reportedLimits().forEach((endpoint, limit) -> limits.put(endpoint.value(), limit));
+    return new FleetMessages.Report(quotas.heldSlots(), inFlight, limits);
   }
 
   @Override
@@ -55,6 +58,7 @@
     quotas.setHolders(holders);
     Map<EndpointId, Integer> inFlight = new HashMap<>();
     totals.inFlight().forEach((endpoint, count) -> inFlight.put(EndpointId.of(endpoint), count));
+    totals.limits().forEach((endpoint, limit) -> relay.adoptLimit(EndpointId.of(endpoint), limit));
     relay.setPeersInFlight(inFlight, totals.instances(), peers.validity());
   }
 }
--- a/snipewick/src/main/java/org/snipewick/quota/QuotaMessages.java
+++ b/snipewick/src/main/java/org/snipewick/quota/QuotaMessages.java
@@ -10,7 +10,11 @@
 public final class QuotaMessages {
   /** Message types by their names on the wire, which must stay stable. */
   public static final Map<String, Class<? extends PeerMessage>> MESSAGE_TYPES =
-      Map.of("qa", Ask.class, "qg", Grant.class);
+      Map.of(
+          "qa", Ask.class,
+          "qg", Grant.class,
+          "qe", PermitAsk.class,
+          "qp", PermitReply.class);
 
   private QuotaMessages() {}
 
@@ -30,6 +34,32 @@
     }
   }
 
+  /**
+   * Request for a permit to send one request to an endpoint with a limit.
+   *
+   * @param endpoint name of the endpoint
+   * @param slot slot out of which the permit is to be granted
+   * @param requestsPerSecond limit, as the holder may not know it
+   */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  public record PermitAsk(String endpoint, int slot, double requestsPerSecond)
+      implements PeerMessage {
+
+    /** Checks that the endpoint is not null. */
+    public PermitAsk {
+      requireNonNull(endpoint, "endpoint");
+    }
+  }
+
+  /**
+   * Reply to a {@link PermitAsk}.
+   *
+   * @param isGranted whether the permit is granted
+   * @param retryAfterMillis time after which one may be granted, in milliseconds
+   */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  public record PermitReply(boolean isGranted, long retryAfterMillis) implements PeerMessage {}
+
   /**
    * Reply to an {@link Ask}.
    *
--- a/snipewick/src/main/java/org/snipewick/quota/SlotGrants.java
+++ b/snipewick/src/main/java/org/snipewick/quota/SlotGrants.java
@@ -27,6 +27,7 @@
   private static final double CEILING_HEADROOM = 2;
 
   private final GrantLedger ledger = GrantLedger.empty();
+  private final PermitLedger permits = new PermitLedger();
   private final Duration window;
   private Ceilings recorded;
   private final List<Ceilings> unconfirmed = new ArrayList<>();
@@ -94,6 +95,11 @@
     }
   }
 
+  /** Returns the permits that were granted for endpoints with limits. */
+  PermitLedger permits() {
+    return permits;
+  }
+
   /** Returns the keys of the limits out of which grants count. */
   Set<String> keys(long nowNanos) {
     return new HashSet<>(ledger.bySecondsLeft(nowNanos).keySet());
--- a/snipewick/src/main/java/org/snipewick/quota/SlotLease.java
+++ b/snipewick/src/main/java/org/snipewick/quota/SlotLease.java
@@ -294,6 +294,7 @@
       confirmedEra = era;
       if (grants.isEmpty()) {
         grants = Optional.of(written);
+        written.permits().start(timer.nanoTime());
         events.record(EventType.LEASE_TAKEN, subject(), Map.of("version", version));
       }
     } else if (result instanceof WriteResult.Conflict conflict) {
--- a/snipewick/src/main/java/org/snipewick/quota/TeamQuotas.java
+++ b/snipewick/src/main/java/org/snipewick/quota/TeamQuotas.java
@@ -11,12 +11,15 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import org.snipewick.event.EventLog;
 import org.snipewick.fleet.FleetMember;
+import org.snipewick.identity.EndpointId;
 import org.snipewick.identity.InstanceId;
 import org.snipewick.identity.TeamName;
 import org.snipewick.peer.PeerNetwork;
@@ -35,6 +38,9 @@
   /** Time after which an instance is ready although it knows no holder of a slot. */
   private static final Duration MAX_STARTUP = Duration.ofSeconds(3);
 
+  /** Time after which a permit is requested again before the instance has joined its peers. */
+  private static final Duration NOT_JOINED_RETRY = Duration.ofMillis(500);
+
   private final InstanceId self;
   private final long createdNanos;
   private final QuotaBounds bounds;
@@ -46,6 +52,9 @@
   private final Map<String, QuotaQueue> queues = new HashMap<>();
   private Optional<QuotaSlots> slots = Optional.empty();
   private Optional<QuotaPeers> peers = Optional.empty();
+  private Optional<PermitPeers> permitPeers = Optional.empty();
+  private Function<EndpointId, OptionalDouble> endpointLimits = endpoint -> OptionalDouble.empty();
+  private int instances = 1;
 
   private TeamQuotas(
       InstanceId self,
@@ -119,6 +128,14 @@
     peers =
         Optional.of(
             QuotaPeers.start(self, network, executor, timer, holder, started::recordIfNeeded));
+    permitPeers =
+        Optional.of(
+            PermitPeers.start(
+                network,
+                executor,
+                timer,
+                started::held,
+                endpoint -> endpointLimits.apply(endpoint)));
   }
 
   /**
@@ -139,12 +156,35 @@
         .spend(amount);
   }
 
+  /**
+   * Sets the source of the limits that endpoints have named. A permit is granted by the lower one
+   * of this limit and that of the instance which requests it.
+   *
+   * @param limits requests per second by endpoint; empty for an endpoint without a limit
+   */
+  public void setEndpointLimits(Function<EndpointId, OptionalDouble> limits) {
+    endpointLimits = requireNonNull(limits, "limits");
+  }
+
+  /** Requests a permit for one request to an endpoint with a limit. */
+  void requestPermit(EndpointId endpoint, double limit, Consumer<PermitResult> onResult) {
+    permitPeers.ifPresentOrElse(
+        started -> started.request(endpoint, limit, onResult),
+        () -> onResult.accept(new PermitResult(false, timer.nanoTime(), NOT_JOINED_RETRY)));
+  }
+
+  /** Returns the number of registered instances. */
+  int instances() {
+    return instances;
+  }
+
   /**
    * Sets the registered instances.
    *
    * @param members all instances, this one included
    */
   public void setInstances(List<FleetMember> members) {
+    instances = Math.max(1, members.size());
     List<FleetMember> sorted = new ArrayList<>(members);
     sorted.sort(
         Comparator.comparing((FleetMember member) -> member.domain().value())
@@ -161,6 +201,7 @@
    */
   public void setHolders(Map<Integer, InstanceId> holders) {
     slots.ifPresent(started -> started.setAnnounced(holders.keySet()));
+    permitPeers.ifPresent(started -> started.setHolders(holders));
     Set<InstanceId> all = new HashSet<>(holders.values());
     if (!heldSlots().isEmpty()) {
       all.add(self);
--- a/snipewick/src/main/java/org/snipewick/relay/RelayDispatcher.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayDispatcher.java
@@ -18,12 +18,14 @@
 import org.snipewick.failure.Failure;
 import org.snipewick.failure.FailureException;
 import org.snipewick.failure.FailureType;
+import org.snipewick.fleet.EndpointLimit;
 import org.snipewick.identity.EndpointId;
 import org.snipewick.identity.PoolName;
 import org.snipewick.placement.AttemptResult;
 import org.snipewick.placement.PlacementDecision;
 import org.snipewick.placement.PoolPlacement;
 import org.snipewick.placement.WaitingRequest;
+import org.snipewick.quota.EndpointPermitStock;
 import org.snipewick.registry.RegisteredEndpoint;
 import org.snipewick.route.CallKind;
 
@@ -52,6 +54,7 @@
   private final CallQuarantine quarantine;
   private final PlannedStop plannedStop;
   private final EndpointLimits limits = new EndpointLimits();
+  private final EndpointPermitStock permits;
 
   /** Calls that have not ended. */
   private final Set<RelayCall> openCalls = new LinkedHashSet<>();
@@ -62,7 +65,15 @@
 
   RelayDispatcher(RelayDependencies dependencies) {
     this.dependencies = requireNonNull(dependencies, "dependencies");
-    this.pools = new RelayPools(dependencies);
+    this.permits =
+        EndpointPermitStock.of(
+            dependencies.quotas(),
+            limits::limit,
+            dependencies.timer(),
+            dependencies.random(),
+            this::decideAllPlacements);
+    dependencies.quotas().setEndpointLimits(limits::limit);
+    this.pools = new RelayPools(dependencies, permits);
     this.endpointRequests = new EndpointRequests(dependencies.headerNames());
     this.telemetry = new RelayTelemetry(dependencies);
     this.quarantine = new CallQuarantine(dependencies.quarantine(), dependencies.timer());
@@ -92,7 +103,8 @@
   /** Replaces the list of endpoints of all pools. */
   void updateEndpoints(Collection<RegisteredEndpoint> endpoints) {
     pools.updateEndpoints(endpoints);
-    limits.retain(endpoints.stream().map(RegisteredEndpoint::id).collect(Collectors.toSet()));
+    limits.retain(endpoints);
+    permits.retain(endpoints.stream().map(RegisteredEndpoint::id).collect(Collectors.toSet()));
     pools.names().forEach(this::decidePlacement);
   }
 
@@ -260,12 +272,16 @@
   private void schedulePlacement() {
     if (!isPlacementScheduled) {
       isPlacementScheduled = true;
-      dependencies.timer().after(PLACEMENT_PERIOD, this::decideAllPlacements);
+      dependencies.timer().after(PLACEMENT_PERIOD, this::decideScheduledPlacements);
     }
   }
 
-  private void decideAllPlacements() {
+  private void decideScheduledPlacements() {
     isPlacementScheduled = false;
+    decideAllPlacements();
+  }
+
+  private void decideAllPlacements() {
     pools.names().forEach(this::decidePlacement);
   }
 
@@ -359,11 +375,23 @@
 
   private void recordLimit(EndpointId endpoint, EndpointResponseHead head) {
     OptionalDouble limit = head.requestLimit(dependencies.headerNames());
-    if (!head.isMisdirected() && limits.update(endpoint, limit)) {
+    if (!head.isMisdirected() && limits.update(endpoint, limit, now())) {
       telemetry.endpointLimited(endpoint, limit);
     }
   }
 
+  /** Returns the limits that responses to this instance have named or ended lately. */
+  Map<EndpointId, EndpointLimit> reportedLimits() {
+    return limits.reported(now());
+  }
+
+  /** Applies a limit that a response to another instance has named or ended. */
+  void adoptLimit(EndpointId endpoint, EndpointLimit limit) {
+    if (limits.adopt(endpoint, limit, now())) {
+      telemetry.endpointLimited(endpoint, limits.limit(endpoint));
+    }
+  }
+
   private void bufferBody(
       RelayCall call, RelayAttempt attempt, EndpointResponseHead head, HttpResponse response) {
     responseBodies
--- a/snipewick/src/main/java/org/snipewick/relay/RelayPools.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayPools.java
@@ -12,6 +12,7 @@
 import org.snipewick.identity.EndpointId;
 import org.snipewick.identity.InstanceId;
 import org.snipewick.identity.PoolName;
+import org.snipewick.placement.EndpointPermits;
 import org.snipewick.placement.PoolPlacement;
 import org.snipewick.placement.PoolRetryBudget;
 import org.snipewick.placement.QueueOrder;
@@ -21,11 +22,13 @@
 /** Queue and retry budget of each pool. Used on one event loop only. */
 final class RelayPools {
   private final RelayDependencies dependencies;
+  private final EndpointPermits permits;
   private final Map<PoolName, PoolPlacement> placements = new HashMap<>();
   private final Map<PoolName, PoolRetryBudget> retryBudgets = new HashMap<>();
   private Set<InstanceId> peers = Set.of();
 
-  RelayPools(RelayDependencies dependencies) {
+  RelayPools(RelayDependencies dependencies, EndpointPermits permits) {
+    this.permits = requireNonNull(permits, "permits");
     this.dependencies = requireNonNull(dependencies, "dependencies");
   }
 
@@ -83,6 +86,7 @@
                   QueueOrder.byTierOnTimeFirst(),
                   WaitLimit.untilTargetLatency(),
                   dependencies.random());
+          created.setPermits(permits);
           created.setInstances(peers.size() + 1);
           return created;
         });
--- a/snipewick/src/main/java/org/snipewick/relay/RelayServer.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayServer.java
@@ -16,6 +16,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.snipewick.fleet.EndpointLimit;
 import org.snipewick.identity.EndpointId;
 import org.snipewick.identity.InstanceId;
 import org.snipewick.registry.RegisteredEndpoint;
@@ -127,6 +128,25 @@
     return dispatcher.pools().inFlightByEndpoint();
   }
 
+  /**
+   * Returns the limits that endpoints have named or ended lately in responses to this instance.
+   *
+   * @return limits by endpoint
+   */
+  public Map<EndpointId, EndpointLimit> reportedLimits() {
+    return dispatcher.reportedLimits();
+  }
+
+  /**
+   * Applies what an endpoint has said of its limit in a response to another instance.
+   *
+   * @param endpoint endpoint
+   * @param limit its statement; ignored if a later one is known
+   */
+  public void adoptLimit(EndpointId endpoint, EndpointLimit limit) {
+    dispatcher.adoptLimit(endpoint, limit);
+  }
+
   /**
    * Sets the listener to endpoints that announce their departure in a response.
    *
--- a/snipewick/src/test/java/org/snipewick/fleet/ReportAggregatorTest.java
+++ b/snipewick/src/test/java/org/snipewick/fleet/ReportAggregatorTest.java
@@ -56,6 +56,24 @@
     assertThat(aggregator.otherGroupTotals(nowNanos).inFlight()).containsEntry("e", 7);
   }
 
+  /** Guards against a limit that an older statement replaces on the way to the other instances. */
+  @Test
+  void shouldPassOnYoungestStatementWhenSeveralInstancesReportLimitOfEndpoint() {
+    addLimit(FIRST, new EndpointLimit(4, 100));
+    nowNanos += SECOND_NANOS / 2;
+    addLimit(SECOND, new EndpointLimit(-1, 300));
+    Totals sum = aggregator.groupTotals(nowNanos);
+    assertThat(sum.limits()).containsExactly(Map.entry("e", new EndpointLimit(-1, 300)));
+    assertThat(sum.minus(aggregator.contribution(FIRST, nowNanos)).limits()).hasSize(1);
+    assertThat(aggregator.contribution(FIRST, nowNanos).limits())
+        .containsExactly(Map.entry("e", new EndpointLimit(4, 600)));
+  }
+
+  private void addLimit(InstanceId from, EndpointLimit limit) {
+    FleetMessages.Report report = new FleetMessages.Report(Set.of(), Map.of(), Map.of("e", limit));
+    aggregator.addReport(from, report, nowNanos);
+  }
+
   private void report(InstanceId from, int slot) {
     aggregator.addReport(from, new FleetMessages.Report(Set.of(slot), Map.of("e", 1)), nowNanos);
   }
--- a/snipewick/src/test/java/org/snipewick/placement/PoolPlacementTest.java
+++ b/snipewick/src/test/java/org/snipewick/placement/PoolPlacementTest.java
@@ -4,8 +4,10 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
@@ -306,6 +308,58 @@
     assertThat(pool.decide(nowNanos)).isEmpty();
   }
 
+  /**
+   * Guards against requests that wait for, or are told, less than the limits of endpoints allow.
+   */
+  @Test
+  void shouldRefuseByRateThatIsLeftWhenAllEndpointsHaveLimits() {
+    Set<EndpointId> permitted = new HashSet<>(Set.of(EndpointId.of("a")));
+    pool.setPermits(limited(permitted, 2, SECOND_NANOS));
+    pool.update(List.of(endpoint("a", LOCAL, 40), endpoint("b", LOCAL, 40)));
+    pool.add(request("first", Tier.TWO, nowNanos, nowNanos, nowNanos + 4 * SECOND_NANOS));
+    pool.add(request("second", Tier.TWO, nowNanos, nowNanos, nowNanos + 4 * SECOND_NANOS));
+    pool.add(request("short", Tier.TWO, nowNanos, nowNanos, nowNanos + SECOND_NANOS));
+    List<PlacementDecision> decisions = pool.decide(nowNanos);
+    assertThat(decisions).hasSize(2);
+    assertThat(decisions.get(0)).isInstanceOf(PlacementDecision.Placed.class);
+    PlacementDecision.Refused refused = (PlacementDecision.Refused) decisions.get(1);
+    assertThat(refused.request().id()).isEqualTo("short");
+    assertThat(refused.retryAfter()).isGreaterThanOrEqualTo(Duration.ofSeconds(1));
+    assertThat(pool.waiting()).isEqualTo(1);
+  }
+
+  @Test
+  void shouldUseOtherEndpointsWhenOneIsAtItsLimit() {
+    pool.setPermits(limited(new HashSet<>(), 2, SECOND_NANOS));
+    pool.update(List.of(endpoint("a", LOCAL, 4), endpoint("free", LOCAL, 4)));
+    assertThat(place(4)).containsExactly("free", "free", "free", "free");
+  }
+
+  /** Permits for all endpoints but the one that is called free. */
+  private static EndpointPermits limited(Set<EndpointId> permitted, double rate, long waitNanos) {
+    return new EndpointPermits() {
+      @Override
+      public OptionalDouble requestsPerSecond(EndpointId endpoint) {
+        return endpoint.value().equals("free") ? OptionalDouble.empty() : OptionalDouble.of(rate);
+      }
+
+      @Override
+      public boolean isAvailable(EndpointId endpoint, long nowNanos) {
+        return requestsPerSecond(endpoint).isEmpty() || permitted.contains(endpoint);
+      }
+
+      @Override
+      public void use(EndpointId endpoint, long nowNanos) {
+        permitted.remove(endpoint);
+      }
+
+      @Override
+      public long expectedWaitNanos(EndpointId endpoint, long nowNanos) {
+        return isAvailable(endpoint, nowNanos) ? 0 : waitNanos;
+      }
+    };
+  }
+
   private List<String> place(int count) {
     for (int request = 0; request < count; request++) {
       add("r" + addedRequests++, Tier.TWO);
--- a/snipewick/src/test/java/org/snipewick/quota/QuotaFleet.java
+++ b/snipewick/src/test/java/org/snipewick/quota/QuotaFleet.java
@@ -14,19 +14,23 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BiFunction;
+import java.util.function.Function;
 import java.util.random.RandomGenerator;
 import org.snipewick.event.EventLog;
 import org.snipewick.failure.Failure;
 import org.snipewick.failure.FailureType;
 import org.snipewick.fleet.FleetMember;
+import org.snipewick.identity.EndpointId;
 import org.snipewick.identity.FailureDomain;
 import org.snipewick.identity.InstanceId;
 import org.snipewick.peer.PeerMessage;
 import org.snipewick.peer.PeerNetwork;
+import org.snipewick.placement.EndpointPermits;
 import org.snipewick.route.TeamPlan;
 import org.snipewick.store.ConditionalTableWriter;
 import org.snipewick.store.EraTracker;
@@ -61,6 +65,7 @@
   private final Set<InstanceId> cut = new HashSet<>();
   private final Set<InstanceId> frozen = new HashSet<>();
   private final TreeMap<Long, StoreCopy> copies = new TreeMap<>();
+  private Function<EndpointId, OptionalDouble> endpointLimits = endpoint -> OptionalDouble.empty();
   private long storeVersion;
   private long storeEra = 1;
   private boolean isStoreDown;
@@ -172,6 +177,20 @@
     return processes.get(instance).quotas.spend(team, amount);
   }
 
+  /** Sets the limits that all instances know. */
+  void setEndpointLimits(Function<EndpointId, OptionalDouble> limits) {
+    endpointLimits = limits;
+  }
+
+  /** Returns the permits of an instance. */
+  EndpointPermits permits(InstanceId instance) {
+    return processes.get(instance).permits;
+  }
+
+  int heldSlots(InstanceId instance) {
+    return processes.get(instance).quotas.heldSlots().size();
+  }
+
   int heldSlots() {
     return processes.values().stream().mapToInt(each -> each.quotas.heldSlots().size()).sum();
   }
@@ -212,7 +231,10 @@
     private final TeamQuotas quotas;
     private final EraTracker eras = EraTracker.of(this, EventLog.none());
     private final Deque<Runnable> delayed = new ArrayDeque<>();
-    private BiFunction<InstanceId, PeerMessage, CompletableFuture<? extends PeerMessage>> handler;
+    private final Map<
+            Class<?>, BiFunction<InstanceId, PeerMessage, CompletableFuture<? extends PeerMessage>>>
+        handlers = new HashMap<>();
+    private final EndpointPermitStock permits;
 
     Process(InstanceId instance) {
       this.instance = instance;
@@ -221,6 +243,9 @@
               instance, bounds, name -> team.quota(), this, EventLog.none(), new MetricRegistry());
       eras.observe(storeEra);
       quotas.join(this, Runnable::run, this, this, eras.incarnation(++storeVersion), eras);
+      permits =
+          EndpointPermitStock.of(
+              quotas, endpoint -> endpointLimits.apply(endpoint), this, random, () -> {});
       updateInstances();
     }
 
@@ -266,7 +291,8 @@
           () -> {
             var unused =
                 receiver
-                    .handler
+                    .handlers
+                    .get(message.getClass())
                     .apply(instance, message)
                     .thenAccept(
                         answer ->
@@ -298,7 +324,7 @@
     public <M extends PeerMessage> void handle(
         Class<M> type,
         BiFunction<InstanceId, M, CompletableFuture<? extends PeerMessage>> handles) {
-      handler = (from, message) -> handles.apply(from, (M) message);
+      handlers.put(type, (from, message) -> handles.apply(from, (M) message));
     }
 
     @Override
