--- a/snipewick/src/main/java/org/snipewick/fleet/InstanceRegistration.java
+++ b/snipewick/src/main/java/org/snipewick/fleet/InstanceRegistration.java
@@ -81,10 +81,9 @@
                   events.record(EventType.TABLE_REGAINED, FleetMember.TABLE);
                 }
                 hasFailed = false;
-                long incarnation = eras.incarnation(version);
+                registered.complete(eras.incarnation(version));
                 events.record(
-                    EventType.INSTANCE_REGISTERED, "", Map.of("incarnation", incarnation));
-                registered.complete(incarnation);
+                    EventType.INSTANCE_REGISTERED, "", Map.of("incarnation", registered.join()));
               } else {
                 retryLater(thrown);
               }
--- a/snipewick/src/test/java/org/snipewick/quarantine/FleetFake.java
+++ b/snipewick/src/test/java/org/snipewick/quarantine/FleetFake.java
@@ -63,6 +63,17 @@
     self[0].onRows(List.copyOf(rows.values()), Moment.now(timer));
   }
 
+  /** Restores the store without any row, which starts a new era. */
+  void restoreStoreWithoutRows() {
+    rows.clear();
+    version = 0;
+    for (int index = 0; index < instances.size(); index++) {
+      seenVersions.set(index, 0L);
+      instances.get(index).onNewEra();
+      instances.get(index).onRows(List.of(), Moment.now(timer));
+    }
+  }
+
   void restartAll() {
     for (int index = 0; index < instances.size(); index++) {
       restart(index);
--- a/snipewick/src/test/java/org/snipewick/quarantine/QuarantineFleetTest.java
+++ b/snipewick/src/test/java/org/snipewick/quarantine/QuarantineFleetTest.java
@@ -50,6 +50,20 @@
     assertThat(soundRefusals).isZero();
   }
 
+  /** Guards against evidence that is lost with the rows of a restored store. */
+  @Test
+  void shouldKnowPartWhenStoreIsRestoredWithoutEvidence() {
+    fleet.start(8);
+    play(Duration.ofSeconds(6), 2);
+    final int sent = sends.size();
+    fleet.restoreStoreWithoutRows();
+    play(Duration.ofSeconds(2), 5);
+    fleet.restartAll();
+    play(Duration.ofSeconds(8), 5);
+    assertThat(sends).hasSize(sent);
+    assertThat(soundRefusals).isZero();
+  }
+
   @Test
   void shouldKnowPartWhenProcessesAreKilledAgainAndAgain() {
     fleet.start(8);
