--- a/snipewick/src/main/java/org/snipewick/placement/EndpointChoice.java
+++ b/snipewick/src/main/java/org/snipewick/placement/EndpointChoice.java
@@ -63,12 +63,18 @@
    * among a sample of the local ones and a sample of the remote ones.
    */
   Optional<EndpointLoad> choose(
-      Collection<EndpointLoad> endpoints, WaitingRequest request, long nowNanos) {
+      Collection<EndpointLoad> endpoints,
+      WaitingRequest request,
+      EndpointPermits permits,
+      long nowNanos) {
     List<EndpointLoad> local = new ArrayList<>();
     List<EndpointLoad> remote = new ArrayList<>();
     remoteShare.refresh(endpoints, nowNanos);
     for (EndpointLoad load : endpoints) {
-      if (load.isAvailable(nowNanos) && maySendTo(load, request) && load.freeSlots(nowNanos) > 0) {
+      if (load.isAvailable(nowNanos)
+          && maySendTo(load, request)
+          && load.freeSlots(nowNanos) > 0
+          && permits.isAvailable(load.endpoint().id(), nowNanos)) {
         if (!isRemote(load)) {
           local.add(load);
         } else if (remoteShare.isLeft(load.endpoint().domain())) {
--- a/snipewick/src/main/java/org/snipewick/placement/EndpointsSummary.java
+++ b/snipewick/src/main/java/org/snipewick/placement/EndpointsSummary.java
@@ -11,24 +11,32 @@
  */
 final class EndpointsSummary {
   private final Collection<EndpointLoad> endpoints;
+  private final EndpointPermits permits;
   private final long nowNanos;
   private final boolean hasAccepting;
   private final long shortestPauseNanos;
+  private final double permittedPerSecond;
   private int ownInFlight;
 
-  EndpointsSummary(Collection<EndpointLoad> endpoints, long nowNanos) {
+  EndpointsSummary(
+      Collection<EndpointLoad> endpoints, EndpointPermits permits, long nowNanos) {
     this.endpoints = requireNonNull(endpoints, "endpoints");
+    this.permits = requireNonNull(permits, "permits");
     this.nowNanos = nowNanos;
     boolean isAnyAccepting = false;
     long shortest = Long.MAX_VALUE;
+    double permitted = 0;
     for (EndpointLoad load : endpoints) {
       ownInFlight += load.ownInFlight();
       if (!load.endpoint().isLeaving()) {
         isAnyAccepting = true;
-        shortest = Math.min(shortest, load.requestedPauseNanos(nowNanos));
+        shortest = Math.min(shortest, pauseNanos(load));
+        permitted +=
+            permits.requestsPerSecond(load.endpoint().id()).orElse(Double.POSITIVE_INFINITY);
       }
     }
     hasAccepting = isAnyAccepting;
+    permittedPerSecond = permitted;
     shortestPauseNanos = isAnyAccepting ? shortest : 0;
   }
 
@@ -39,21 +47,35 @@
         : endpoints.stream().anyMatch(load -> isCandidate(load, request));
   }
 
-  /** Returns the time until an endpoint that may run the request has not asked for a pause. */
+  /**
+   * Returns the time until an endpoint that may run the request has neither asked for a pause nor
+   * exhausted its limit.
+   */
   long shortestRequestedPauseNanos(WaitingRequest request) {
     return request.triedEndpoints().isEmpty()
         ? shortestPauseNanos
         : endpoints.stream()
             .filter(load -> isCandidate(load, request))
-            .mapToLong(load -> load.requestedPauseNanos(nowNanos))
+            .mapToLong(this::pauseNanos)
             .min()
             .orElse(0);
   }
 
+  private long pauseNanos(EndpointLoad load) {
+    return Math.max(
+        load.requestedPauseNanos(nowNanos),
+        permits.expectedWaitNanos(load.endpoint().id(), nowNanos));
+  }
+
   private static boolean isCandidate(EndpointLoad load, WaitingRequest request) {
     return !load.endpoint().isLeaving() && EndpointChoice.maySendTo(load, request);
   }
 
+  /** Returns the sum of the limits of all accepting endpoints; infinite if one has none. */
+  double permittedPerSecond() {
+    return permittedPerSecond;
+  }
+
   /** Returns the requests of this instance in flight. */
   int ownInFlight() {
     return ownInFlight;
--- a/snipewick/src/main/java/org/snipewick/placement/PoolPlacement.java
+++ b/snipewick/src/main/java/org/snipewick/placement/PoolPlacement.java
@@ -29,6 +29,8 @@
    */
   public static final double DEFAULT_REMOTE_COST_FACTOR = 1.3;
 
+  private static final double NANOS_PER_SECOND = 1e9;
+
   private final QueueOrder order;
   private final WaitLimit waitLimit;
   private final EndpointChoice choice;
@@ -38,6 +40,7 @@
   private final ReturnSchedule returns = new ReturnSchedule();
   private final TeamShares teamShares = new TeamShares();
   private final PeerPlacements placedByPeers = new PeerPlacements(this, endpoints, residenceTime);
+  private EndpointPermits permits = EndpointPermits.UNLIMITED;
 
   private PoolPlacement(
       FailureDomain domain, QueueOrder order, WaitLimit waitLimit, RandomGenerator random) {
@@ -60,6 +63,15 @@
     return new PoolPlacement(domain, order, waitLimit, random);
   }
 
+  /**
+   * Sets the permits for endpoints with limits; without them no endpoint has one.
+   *
+   * @param endpointPermits permits, which are shared with the other pools
+   */
+  public void setPermits(EndpointPermits endpointPermits) {
+    permits = requireNonNull(endpointPermits, "endpointPermits");
+  }
+
   /**
    * Sets the number of instances that share the endpoints.
    *
@@ -183,7 +195,7 @@
     }
     List<PlacementDecision> decisions = new ArrayList<>();
     waiting.sort(order.at(nowNanos));
-    EndpointsSummary summary = new EndpointsSummary(endpoints.values(), nowNanos);
+    EndpointsSummary summary = new EndpointsSummary(endpoints.values(), permits, nowNanos);
     Iterator<WaitingRequest> iterator = waiting.iterator();
     int requestsAhead = 0;
     while (iterator.hasNext()) {
@@ -203,7 +215,7 @@
       WaitingRequest request, int requestsAhead, EndpointsSummary summary, long nowNanos) {
     if (!summary.hasCandidate(request)) {
       return Optional.of(
-          refused(request, PlacementDecision.Reason.NO_ENDPOINT, requestsAhead, nowNanos));
+          refused(request, PlacementDecision.Reason.NO_ENDPOINT, requestsAhead, summary, nowNanos));
     }
     long pauseNanos = summary.shortestRequestedPauseNanos(request);
     if (pauseNanos > 0 && pauseNanos > waitLimit.maxWaitNanos(request, nowNanos)) {
@@ -214,7 +226,7 @@
               ReturnSchedule.atLeastMinimum(Duration.ofNanos(pauseNanos))));
     }
     if (requestsAhead == 0) {
-      Optional<EndpointLoad> free = choice.choose(endpoints.values(), request, nowNanos);
+      Optional<EndpointLoad> free = choice.choose(endpoints.values(), request, permits, nowNanos);
       if (free.isPresent()) {
         PlacementDecision placed = placed(request, free.get(), nowNanos);
         summary.countPlaced();
@@ -224,12 +236,12 @@
     if (nowNanos - request.arrivedNanos()
         > waitLimit.maxWaitNanos(request, request.arrivedNanos())) {
       return Optional.of(
-          refused(request, PlacementDecision.Reason.WAITED_TOO_LONG, requestsAhead, nowNanos));
+          refused(request, PlacementDecision.Reason.WAITED_TOO_LONG, requestsAhead, summary, nowNanos));
     }
-    if (expectedWaitNanos(requestsAhead + 1, summary.ownInFlight())
+    if (expectedWaitNanos(requestsAhead + 1, summary)
         > waitLimit.maxWaitNanos(request, nowNanos)) {
       return Optional.of(
-          refused(request, PlacementDecision.Reason.QUEUE_TOO_LONG, requestsAhead, nowNanos));
+          refused(request, PlacementDecision.Reason.QUEUE_TOO_LONG, requestsAhead, summary, nowNanos));
     }
     return Optional.empty();
   }
@@ -237,31 +249,35 @@
   private PlacementDecision placed(WaitingRequest request, EndpointLoad load, long nowNanos) {
     int inFlight = load.estimatedInFlight(nowNanos);
     load.begin(request.promptTokens());
+    permits.use(load.endpoint().id(), nowNanos);
     return new PlacementDecision.Placed(request, load.endpoint(), inFlight, waiting.size() - 1);
   }
 
   private PlacementDecision refused(
-      WaitingRequest request, PlacementDecision.Reason reason, int requestsAhead, long nowNanos) {
-    return new PlacementDecision.Refused(request, reason, retryAfter(requestsAhead, nowNanos));
+      WaitingRequest request,
+      PlacementDecision.Reason reason,
+      int requestsAhead,
+      EndpointsSummary summary,
+      long nowNanos) {
+    Duration retryAfter =
+        ReturnSchedule.atLeastMinimum(
+            returns.book(
+                expectedWaitNanos(requestsAhead + 1, summary),
+                expectedWaitNanos(1, summary),
+                nowNanos));
+    return new PlacementDecision.Refused(request, reason, retryAfter);
   }
 
   /**
    * Estimates the time until the given number of slots becomes free. The requests that this
    * instance has in flight are assumed to end at an even rate, each after the mean residence time.
-   * Returns 0 before the first answer.
+   * Returns 0 before the first answer. If all endpoints have limits, no more requests can be placed
+   * than these allow.
    */
-  private double expectedWaitNanos(int slots, int inFlight) {
-    return residenceTime.meanNanos().orElse(0) * slots / Math.max(1, inFlight);
-  }
-
-  /** Returns the time at which a refused request may return, and books a slot for it. */
-  private Duration retryAfter(int requestsAhead, long nowNanos) {
-    int inFlight = endpoints.values().stream().mapToInt(EndpointLoad::ownInFlight).sum();
-    return ReturnSchedule.atLeastMinimum(
-        returns.book(
-            expectedWaitNanos(requestsAhead + 1, inFlight),
-            expectedWaitNanos(1, inFlight),
-            nowNanos));
+  private double expectedWaitNanos(int slots, EndpointsSummary summary) {
+    double untilFree =
+        residenceTime.meanNanos().orElse(0) * slots / Math.max(1, summary.ownInFlight());
+    return Math.max(untilFree, slots * NANOS_PER_SECOND / summary.permittedPerSecond());
   }
 
   /**
--- a/snipewick/src/main/java/org/snipewick/relay/RelayDispatcher.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayDispatcher.java
@@ -16,6 +16,7 @@
 import org.snipewick.failure.Failure;
 import org.snipewick.failure.FailureException;
 import org.snipewick.failure.FailureType;
+import org.snipewick.fleet.EndpointLimit;
 import org.snipewick.identity.EndpointId;
 import org.snipewick.identity.PoolName;
 import org.snipewick.placement.AttemptResult;
@@ -23,6 +24,7 @@
 import org.snipewick.placement.PlacementGrant;
 import org.snipewick.placement.PlacementListener;
 import org.snipewick.placement.WaitingRequest;
+import org.snipewick.quota.EndpointPermitStock;
 import org.snipewick.registry.RegisteredEndpoint;
 import org.snipewick.route.CallKind;
 
@@ -44,6 +46,7 @@
   private final CallQuarantine quarantine;
   private final PlannedStop plannedStop;
   private final EndpointLimits limits = new EndpointLimits();
+  private final EndpointPermitStock permits;
 
   /** Calls that have not ended. */
   private final Set<RelayCall> openCalls = new LinkedHashSet<>();
@@ -53,7 +56,15 @@
 
   RelayDispatcher(RelayDependencies dependencies) {
     this.dependencies = requireNonNull(dependencies, "dependencies");
-    this.pools = new RelayPools(dependencies);
+    this.permits =
+        EndpointPermitStock.of(
+            dependencies.quotas(),
+            limits::limit,
+            dependencies.timer(),
+            dependencies.random(),
+            this::decideAllPlacements);
+    dependencies.quotas().setEndpointLimits(limits::limit);
+    this.pools = new RelayPools(dependencies, permits);
     this.endpointRequests = new EndpointRequests(dependencies.headerNames());
     this.telemetry = new RelayTelemetry(dependencies);
     this.quarantine = new CallQuarantine(dependencies.quarantine(), dependencies.timer());
@@ -83,7 +94,8 @@
   /** Replaces the list of endpoints of all pools. */
   void updateEndpoints(Collection<RegisteredEndpoint> endpoints) {
     pools.updateEndpoints(endpoints);
-    limits.retain(endpoints.stream().map(RegisteredEndpoint::id).collect(Collectors.toSet()));
+    limits.retain(endpoints);
+    permits.retain(endpoints.stream().map(RegisteredEndpoint::id).collect(Collectors.toSet()));
   }
 
   /** Sets the listener to endpoints that announce their departure in a response. */
@@ -257,6 +269,10 @@
     pools.placer().decide(pool);
   }
 
+  private void decideAllPlacements() {
+    pools.local().names().forEach(this::decidePlacement);
+  }
+
   private void send(RelayCall call, PlacementDecision.Placed placed, RelayAttempt attempt) {
     if (call.team().isPresent() && !dependencies.plans().hasFreshProof()) {
       // The API key was checked before the request waited, and may have been revoked since.
@@ -341,11 +357,23 @@
 
   private void recordLimit(EndpointId endpoint, EndpointResponseHead head) {
     OptionalDouble limit = head.requestLimit(dependencies.headerNames());
-    if (!head.isMisdirected() && limits.update(endpoint, limit)) {
+    if (!head.isMisdirected() && limits.update(endpoint, limit, now())) {
       telemetry.endpointLimited(endpoint, limit);
     }
   }
 
+  /** Returns the limits that responses to this instance have named or ended lately. */
+  Map<EndpointId, EndpointLimit> reportedLimits() {
+    return limits.reported(now());
+  }
+
+  /** Applies a limit that a response to another instance has named or ended. */
+  void adoptLimit(EndpointId endpoint, EndpointLimit limit) {
+    if (limits.adopt(endpoint, limit, now())) {
+      telemetry.endpointLimited(endpoint, limits.limit(endpoint));
+    }
+  }
+
   private void bufferBody(
       RelayCall call, RelayAttempt attempt, EndpointResponseHead head, HttpResponse response) {
     responseBodies
--- a/snipewick/src/main/java/org/snipewick/relay/RelayPools.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayPools.java
@@ -11,6 +11,7 @@
 import org.snipewick.identity.InstanceId;
 import org.snipewick.identity.PoolName;
 import org.snipewick.placement.LocalPlacer;
+import org.snipewick.placement.EndpointPermits;
 import org.snipewick.placement.PoolPlacement;
 import org.snipewick.placement.PoolRetryBudget;
 import org.snipewick.placement.QueueOrder;
@@ -21,23 +22,28 @@
 /** Queue and retry budget of each pool. Used on one event loop only. */
 final class RelayPools {
   private final RelayDependencies dependencies;
+  private final EndpointPermits permits;
   private final LocalPlacer local;
   private final Map<PoolName, PoolRetryBudget> retryBudgets = new HashMap<>();
   private RequestPlacer placer;
   private Set<InstanceId> peers = Set.of();
 
-  RelayPools(RelayDependencies dependencies) {
+  RelayPools(RelayDependencies dependencies, EndpointPermits permits) {
+    this.permits = requireNonNull(permits, "permits");
     this.dependencies = requireNonNull(dependencies, "dependencies");
     this.local = LocalPlacer.of(this::emptyPool, dependencies.timer());
     this.placer = local;
   }
 
   private PoolPlacement emptyPool() {
-    return PoolPlacement.of(
-        dependencies.domain(),
-        QueueOrder.byTierOnTimeFirst(),
-        WaitLimit.untilTargetLatency(),
-        dependencies.random());
+    PoolPlacement created =
+        PoolPlacement.of(
+            dependencies.domain(),
+            QueueOrder.byTierOnTimeFirst(),
+            WaitLimit.untilTargetLatency(),
+            dependencies.random());
+    created.setPermits(permits);
+    return created;
   }
 
   /** Returns the placer that decides by the queues of this instance. */
--- a/snipewick/src/main/java/org/snipewick/relay/RelayServer.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayServer.java
@@ -17,6 +17,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.snipewick.event.EventType;
+import org.snipewick.fleet.EndpointLimit;
 import org.snipewick.identity.EndpointId;
 import org.snipewick.identity.InstanceId;
 import org.snipewick.placement.LocalPlacer;
@@ -157,6 +158,25 @@
     dispatcher.pools().setPlacer(placer);
   }
 
+  /**
+   * Returns the limits that endpoints have named or ended lately in responses to this instance.
+   *
+   * @return limits by endpoint
+   */
+  public Map<EndpointId, EndpointLimit> reportedLimits() {
+    return dispatcher.reportedLimits();
+  }
+
+  /**
+   * Applies what an endpoint has said of its limit in a response to another instance.
+   *
+   * @param endpoint endpoint
+   * @param limit its statement; ignored if a later one is known
+   */
+  public void adoptLimit(EndpointId endpoint, EndpointLimit limit) {
+    dispatcher.adoptLimit(endpoint, limit);
+  }
+
   /**
    * Sets the listener to endpoints that announce their departure in a response.
    *
