Hedge slow requests within a share of a pool's requests

A few slow responses spoil the operators' figures, and requests that may be repeated can be sent to a second endpoint. The first response wins and the other attempt is cancelled, which says nothing about its endpoint; if one attempt fails, the other decides the call. Of streams this holds until their first event.

--- a/snipewick/src/main/java/org/snipewick/cli/FrontCommand.java
+++ b/snipewick/src/main/java/org/snipewick/cli/FrontCommand.java
@@ -16,6 +16,13 @@
           "settings file in the platform's format; by default the one named by " + FILE_VARIABLE)
   private Path file;
 
+  @Parameter(
+      names = "--hedge-share",
+      description =
+          "maximum share of a pool's requests, 0 to 1, that are sent to a second endpoint when the"
+              + " response is slow; 0 for none")
+  private double hedgeShare;
+
   @Override
   public ExitCode run(Console console) {
     String fileFromEnvironment = System.getenv(FILE_VARIABLE);
@@ -23,7 +30,11 @@
       console.err().println("neither --settings nor " + FILE_VARIABLE + " names a file");
       return ExitCode.REFUSED;
     }
-    FrontProcess.run(file == null ? Path.of(fileFromEnvironment) : file);
+    if (!(hedgeShare >= 0 && hedgeShare <= 1)) {
+      console.err().println("--hedge-share must be between 0 and 1: " + hedgeShare);
+      return ExitCode.REFUSED;
+    }
+    FrontProcess.run(file == null ? Path.of(fileFromEnvironment) : file, hedgeShare);
     return ExitCode.SUCCESS;
   }
 }
--- a/snipewick/src/main/java/org/snipewick/event/EventType.java
+++ b/snipewick/src/main/java/org/snipewick/event/EventType.java
@@ -56,6 +56,12 @@
   REQUEST_REPEATED(215, Level.INFO, "request sent again"),
   /** An endpoint closed or reset a connection before its response was complete. */
   RESPONSE_BROKEN(216, Level.INFO, "response broke off"),
+  /** A second attempt of a request, whose response was slow, was sent to another endpoint. */
+  HEDGE_SENT(217, Level.INFO, "hedge sent"),
+  /** The response of a second attempt is used; the first attempt failed or was cancelled. */
+  HEDGE_WON(218, Level.INFO, "hedge won"),
+  /** A second attempt failed or was cancelled, as the first one responded. */
+  HEDGE_LOST(219, Level.INFO, "hedge lost"),
   /** A catalogue change was accepted by the platform. */
   CATALOGUE_ACCEPTED(300, Level.INFO, "catalogue change accepted"),
   /** A catalogue version took effect on this instance. */
--- a/snipewick/src/main/java/org/snipewick/platform/FrontProcess.java
+++ b/snipewick/src/main/java/org/snipewick/platform/FrontProcess.java
@@ -132,7 +132,7 @@
   private final CountDownLatch stopped = new CountDownLatch(1);
   private boolean isStopping;
 
-  private FrontProcess(NodeSettings settings) throws IOException {
+  private FrontProcess(NodeSettings settings, double hedgeShare) throws IOException {
     this.settings = requireNonNull(settings, "settings");
     LogFormat.JSON.apply(LogFormat.LogLevel.INFO);
     eventloop = EventloopTimerService.monotonicEventloop().withCurrentThread();
@@ -155,7 +155,8 @@
     metrics.gauge("held_bytes", () -> memory::heldBytes);
     quarantine = Quarantine.of(settings.instance(), store, timer, events, new SplittableRandom());
     metrics.gauge("quarantined_parts", () -> quarantine::size);
-    relay = RelayServer.listen(eventloop, settings.callers(), relayDependencies(transport));
+    relay =
+        RelayServer.listen(eventloop, settings.callers(), relayDependencies(transport, hedgeShare));
     registry = EndpointRegistry.of(timer, events, relay::updateEndpoints);
     relay.onDepartureAnnounced(registry::onDepartureAnnounced);
     PrometheusText prometheus = PrometheusText.of(metrics);
@@ -167,13 +168,14 @@
    * Runs a process until it is stopped; the calling thread runs its event loop.
    *
    * @param file settings file
+   * @param hedgeShare maximum share of a pool's requests that are hedged, 0 for none
    * @throws org.snipewick.failure.FailureException with {@link FailureType#SETTINGS_INVALID} if the
    *     settings are invalid or an address cannot be bound
    */
-  public static void run(Path file) {
+  public static void run(Path file, double hedgeShare) {
     NodeSettings settings = NodeSettings.read(file);
     try {
-      FrontProcess process = new FrontProcess(settings);
+      FrontProcess process = new FrontProcess(settings, hedgeShare);
       Runtime.getRuntime().addShutdownHook(new Thread(process::stopAndWait, "planned-stop"));
       Signal.handle(
           new Signal("HUP"), signal -> process.eventloop.execute(() -> process.reload(file)));
@@ -185,7 +187,7 @@
     }
   }
 
-  private RelayDependencies relayDependencies(HttpTransport transport) {
+  private RelayDependencies relayDependencies(HttpTransport transport, double hedgeShare) {
     return new RelayDependencies(
         settings.domain(),
         plans,
@@ -195,7 +197,10 @@
         memory,
         PlatformHeaders.NAMES,
         new RelayDependencies.RetryBudgetSettings(
-            settings.retriesPerRequest(), settings.additionalRetries(), settings.retryWindow()),
+            settings.retriesPerRequest(),
+            settings.additionalRetries(),
+            settings.retryWindow(),
+            hedgeShare),
         timer,
         events,
         metrics,
--- a/snipewick/src/main/java/org/snipewick/relay/RelayAttempt.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayAttempt.java
@@ -37,6 +37,11 @@
     BODY
   }
 
+  /** Returns whether the attempt has ended or was cancelled; what arrives afterwards is ignored. */
+  boolean hasEnded() {
+    return hasEnded;
+  }
+
   RegisteredEndpoint endpoint() {
     return endpoint;
   }
--- a/snipewick/src/main/java/org/snipewick/relay/RelayCall.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayCall.java
@@ -14,6 +14,7 @@
 import org.snipewick.identity.EndpointId;
 import org.snipewick.identity.PoolName;
 import org.snipewick.identity.Tier;
+import org.snipewick.route.CallKind;
 import org.snipewick.route.Route;
 import org.snipewick.route.RoutingPlan;
 import org.snipewick.route.TeamPlan;
@@ -35,8 +36,10 @@
   private String waitingId = "";
   private Optional<SettablePromise<ChannelSupplier<ByteBuf>>> resumption = Optional.empty();
   private Optional<RelayAttempt> attempt = Optional.empty();
+  private Optional<RelayAttempt> hedge = Optional.empty();
   private Optional<RelayStream> stream = Optional.empty();
   private TimerService.Subscription deadlineTimer = () -> {};
+  private TimerService.Subscription hedgeTimer = () -> {};
   private Runnable onFinished = () -> {};
   private boolean isFinished;
 
@@ -137,6 +140,55 @@
     attemptsThatMayHaveRun++;
   }
 
+  /** Begins a second attempt while the first one is running. */
+  void beginHedge(RelayAttempt started) {
+    hedge = Optional.of(started);
+    triedEndpoints.add(started.endpoint().id());
+    attempts++;
+    attemptsThatMayHaveRun++;
+  }
+
+  /** Returns the second attempt while both are running. */
+  Optional<RelayAttempt> hedge() {
+    return hedge;
+  }
+
+  /** Returns the attempt that is running beside the given one; empty if there is none. */
+  Optional<RelayAttempt> other(RelayAttempt running) {
+    return hedge.filter(second -> second == running).isPresent() ? attempt : hedge;
+  }
+
+  /** Removes one of two running attempts; the other one is the current attempt from now on. */
+  void drop(RelayAttempt dropped) {
+    attempt = other(dropped);
+    hedge = Optional.empty();
+  }
+
+  /** Records that a dropped attempt has not run, and that it does not count if it was not sent. */
+  void countDroppedAsNotRun(boolean wasSent) {
+    attemptsThatMayHaveRun--;
+    attempts -= wasSent ? 0 : 1;
+  }
+
+  /** Removes and returns the second attempt. */
+  Optional<RelayAttempt> takeHedge() {
+    Optional<RelayAttempt> taken = hedge;
+    hedge = Optional.empty();
+    return taken;
+  }
+
+  void setHedgeTimer(TimerService.Subscription timer) {
+    hedgeTimer = requireNonNull(timer, "timer");
+  }
+
+  void cancelHedgeTimer() {
+    hedgeTimer.cancel();
+  }
+
+  boolean isStreamRoute() {
+    return route.kind() == CallKind.STREAM;
+  }
+
   /** Records that the current attempt was not sent to its endpoint and does not count. */
   void markNotSent() {
     attempts--;
@@ -211,6 +263,7 @@
     if (!isFinished) {
       isFinished = true;
       deadlineTimer.cancel();
+      hedgeTimer.cancel();
       onFinished.run();
     }
   }
--- a/snipewick/src/main/java/org/snipewick/relay/RelayDependencies.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayDependencies.java
@@ -66,9 +66,10 @@
    * @param retriesPerRequest number of retries allowed per request to the pool
    * @param additionalRetries number of retries allowed in a window beyond that
    * @param window time over which requests and retries are counted
+   * @param hedgeShare maximum share of a pool's requests that are hedged, 0 for none
    */
   public record RetryBudgetSettings(
-      double retriesPerRequest, double additionalRetries, Duration window) {
+      double retriesPerRequest, double additionalRetries, Duration window, double hedgeShare) {
 
     /** Checks the components. */
     public RetryBudgetSettings {
--- a/snipewick/src/main/java/org/snipewick/relay/RelayDispatcher.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayDispatcher.java
@@ -31,7 +31,7 @@
  * Dispatches requests to endpoints: queues them until a slot is free, sends them, retries those
  * that may be retried, and cancels those whose deadline has passed. Used on one event loop only.
  */
-final class RelayDispatcher implements StreamForwarder.CallHandler {
+final class RelayDispatcher implements StreamForwarder.CallHandler, Hedges.Sender {
   /**
    * Time between placement decisions while requests wait. It bounds the delay until slots that were
    * freed at an endpoint by peers, and endpoints whose pause has ended, are used.
@@ -52,6 +52,7 @@
   private final CallQuarantine quarantine;
   private final PlannedStop plannedStop;
   private final EndpointLimits limits = new EndpointLimits();
+  private final Hedges hedges;
 
   /** Calls that have not ended. */
   private final Set<RelayCall> openCalls = new LinkedHashSet<>();
@@ -70,6 +71,7 @@
     this.plannedStop = new PlannedStop(dependencies.timer());
     this.responseBodies = new ResponseBodies(dependencies.memory());
     dependencies.metrics().gauge("limited_endpoints", () -> limits::size);
+    this.hedges = new Hedges(dependencies, pools, telemetry, this);
     this.streamForwarder =
         new StreamForwarder(this, telemetry, dependencies.timer(), dependencies.memory());
   }
@@ -124,6 +126,7 @@
         dependencies.timer().after(timeLeft, () -> runGuarded(call, () -> deadlinePassed(call))));
     quarantine.begin(call);
     pools.retryBudget(call.pool()).countRequest(now());
+    hedges.begin(call);
     enqueue(call);
   }
 
@@ -289,14 +292,34 @@
     }
     call.beginAttempt(attempt);
     telemetry.dispatched(call, placed, now());
+    transmit(call, attempt);
+    hedges.scheduleFor(call, attempt);
+  }
+
+  @Override
+  public boolean mayRepeat(RelayCall call) {
+    return call.route().isIdempotent()
+        && call.stream().isEmpty()
+        && call.attempts() < call.route().maxAttempts()
+        && !quarantine.isSuspected(call)
+        && quarantine.refusal(call).isEmpty()
+        && plannedStop.canEnd(call)
+        && (call.team().isEmpty() || dependencies.plans().hasFreshProof());
+  }
+
+  @Override
+  public void transmit(RelayCall call, RelayAttempt attempt) {
     dependencies
         .transport()
-        .send(endpointRequests.build(call, placed.endpoint(), now()), attempt.exchange())
+        .send(endpointRequests.build(call, attempt.endpoint(), now()), attempt.exchange())
         .run(
             (response, thrown) ->
                 runGuarded(
                     call,
                     () -> {
+                      if (attempt.hasEnded()) {
+                        return;
+                      }
                       if (thrown != null) {
                         responseBroken(call, attempt, thrown);
                       } else {
@@ -341,6 +364,8 @@
       // The request may have run, so that this status must not reach the caller.
       attemptFailed(
           call, attempt, "endpoint failed and may have run the request, status " + head.status());
+    } else if (head.isServerError() && hedges.leaveToOther(call, attempt, AttemptResult.FAILED)) {
+      decidePlacement(call.pool());
     } else if (head.isServerError() && tryAcquireRetry(call)) {
       attempt.exchange().cancel();
       attempt.end(AttemptResult.FAILED, now());
@@ -353,6 +378,11 @@
       attempt.exchange().cancel();
       attemptFailed(call, attempt, "endpoint did not resume the stream, status " + head.status());
     } else {
+      if (head.isServerError()) {
+        call.cancelHedgeTimer();
+      } else {
+        hedges.responded(call, attempt);
+      }
       bufferBody(call, attempt, head, response);
     }
   }
@@ -394,7 +424,13 @@
   }
 
   private void attemptRejected(RelayCall call, RelayAttempt attempt, EndpointResponseHead head) {
-    attempt.end(head.isMisdirected() ? AttemptResult.MISDIRECTED : AttemptResult.REJECTED, now());
+    AttemptResult result =
+        head.isMisdirected() ? AttemptResult.MISDIRECTED : AttemptResult.REJECTED;
+    if (hedges.leaveToOther(call, attempt, result)) {
+      decidePlacement(call.pool());
+      return;
+    }
+    attempt.end(result, now());
     call.markNotRun();
     String detail = "endpoint did not run the request, status " + head.status();
     if (call.attempts() < call.route().maxAttempts()
@@ -432,7 +468,13 @@
       return;
     }
     attempt.exchange().cancel();
-    if (!attempt.exchange().mayHaveBeenSent()) {
+    boolean wasSent = attempt.exchange().mayHaveBeenSent();
+    if (hedges.leaveToOther(
+        call, attempt, wasSent ? AttemptResult.FAILED : AttemptResult.UNREACHABLE)) {
+      decidePlacement(call.pool());
+      return;
+    }
+    if (!wasSent) {
       attempt.end(AttemptResult.UNREACHABLE, now());
       call.markNotSent();
       retry(call, attempt, "request was not sent: " + detail);
@@ -478,6 +520,11 @@
             : Failure.notRun(FailureType.DEADLINE_UNREACHABLE, "no free slot before the deadline"));
   }
 
+  @Override
+  public void responded(RelayCall call, RelayAttempt attempt) {
+    hedges.responded(call, attempt);
+  }
+
   @Override
   public void succeed(RelayCall call, int status) {
     Steps.runAll(
@@ -524,7 +571,11 @@
   }
 
   private void finish(RelayCall call) {
-    Steps.runAll(() -> openCalls.remove(call), () -> quarantine.end(call), call::finish);
+    Steps.runAll(
+        () -> openCalls.remove(call),
+        () -> quarantine.end(call),
+        () -> call.takeHedge().ifPresent(running -> running.cancel(now())),
+        call::finish);
   }
 
   private long now() {
--- a/snipewick/src/main/java/org/snipewick/relay/RelayMetrics.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayMetrics.java
@@ -45,6 +45,11 @@
     registry.counter("relay_broken_" + progress.name().toLowerCase(Locale.ROOT)).inc();
   }
 
+  /** Counts second attempts by what became of them: {@code sent}, {@code won} or {@code lost}. */
+  void countHedge(String fate) {
+    registry.counter("relay_hedges_" + fate).inc();
+  }
+
   void countDefect() {
     registry.counter("relay_defects").inc();
   }
--- a/snipewick/src/main/java/org/snipewick/relay/RelayTelemetry.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayTelemetry.java
@@ -86,6 +86,26 @@
             Map.of("limit", limit.isPresent() ? String.valueOf(limit.getAsDouble()) : ""));
   }
 
+  /** Records that a second attempt of a slow request is sent to another endpoint. */
+  void hedgeSent(RelayCall call, RelayAttempt hedge, long nowNanos) {
+    metrics.countHedge("sent");
+    recordHedge(EventType.HEDGE_SENT, call, hedge, nowNanos);
+  }
+
+  /** Records which of two attempts of a request is left; the other one failed or was cancelled. */
+  void hedgeEnded(RelayCall call, RelayAttempt hedge, boolean hasWon, long nowNanos) {
+    metrics.countHedge(hasWon ? "won" : "lost");
+    recordHedge(hasWon ? EventType.HEDGE_WON : EventType.HEDGE_LOST, call, hedge, nowNanos);
+  }
+
+  private void recordHedge(EventType type, RelayCall call, RelayAttempt hedge, long nowNanos) {
+    Map<String, Object> details = commonDetails(call, nowNanos);
+    details.put("endpoint", hedge.endpoint().id().toString());
+    details.put("attempt", call.attempts());
+    details.put("attemptMillis", (nowNanos - hedge.placedNanos()) / NANOS_PER_MILLI);
+    record(type, call, details);
+  }
+
   /** Records that a request will be sent again after an attempt that failed. */
   void retried(RelayCall call, RelayAttempt failed, String detail, long nowNanos) {
     metrics.countRetry();
--- a/snipewick/src/main/java/org/snipewick/relay/StreamForwarder.java
+++ b/snipewick/src/main/java/org/snipewick/relay/StreamForwarder.java
@@ -37,6 +37,9 @@
     /** Runs a step of a call; if it throws, the call ends, but nothing else does. */
     void runGuarded(RelayCall call, Runnable step);
 
+    /** Handles the first event of a stream; another attempt of the call is cancelled. */
+    void responded(RelayCall call, RelayAttempt attempt);
+
     /** Handles an attempt whose connection ended before the body of its response began. */
     void responseBroken(RelayCall call, RelayAttempt attempt, Exception thrown);
 
@@ -82,7 +85,7 @@
       ChannelSupplier<ByteBuf> body,
       ByteBuf first,
       Exception thrown) {
-    if (call.isFinished()) {
+    if (call.isFinished() || attempt.hasEnded()) {
       attempt.cancel(timer.nanoTime());
     } else if (thrown != null) {
       callHandler.responseBroken(call, attempt, thrown);
@@ -95,6 +98,7 @@
     } else {
       attempt.advance(RelayAttempt.Progress.BODY);
       attempt.endPrefill();
+      callHandler.responded(call, attempt);
       ChannelSupplier<ByteBuf> all =
           first == null ? body : ChannelSuppliers.concat(ChannelSupplier.of(first), body);
       begin(call, head, all);
--- a/snipewick/src/test/java/org/snipewick/relay/RelayFixture.java
+++ b/snipewick/src/test/java/org/snipewick/relay/RelayFixture.java
@@ -78,6 +78,7 @@
       MemoryAccount.of(MEMORY_BYTES, task -> timer.after(Duration.ZERO, task));
   private final Thread thread = new Thread(eventloop, "relay");
   private final List<RegisteredEndpoint> endpoints = new ArrayList<>();
+  private final double hedgeShare;
   private final int port;
   private int startedEndpoints;
   private RelayServer server;
@@ -88,6 +89,12 @@
   }
 
   RelayFixture(RoutingPlan plan, EventLog log) {
+    this(plan, log, 0);
+  }
+
+  /** Starts a relay that hedges a share of the requests. */
+  RelayFixture(RoutingPlan plan, EventLog log, double hedgeShare) {
+    this.hedgeShare = hedgeShare;
     try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
       port = free.getLocalPort();
     } catch (IOException failure) {
@@ -122,7 +129,7 @@
         HttpTransport.of(eventloop, Duration.ofMillis(500), 1_000_000),
         memory,
         NAMES,
-        new RelayDependencies.RetryBudgetSettings(0.2, 50, Duration.ofSeconds(10)),
+        new RelayDependencies.RetryBudgetSettings(0.2, 50, Duration.ofSeconds(10), hedgeShare),
         timer,
         log,
         new MetricRegistry(),
