--- a/snipewick/src/main/java/org/snipewick/cli/FrontCommand.java
+++ b/snipewick/src/main/java/org/snipewick/cli/FrontCommand.java
@@ -24,6 +24,13 @@
               + " than local ones, at least 1")
   private double remoteCostFactor = PoolPlacement.DEFAULT_REMOTE_COST_FACTOR;
 
+  @Parameter(
+      names = "--hedge-share",
+      description =
+          "maximum share of a pool's requests, 0 to 1, that are sent to a second endpoint when the"
+              + " response is slow; 0 for none")
+  private double hedgeShare;
+
   @Override
   public ExitCode run(Console console) {
     String fileFromEnvironment = System.getenv(FILE_VARIABLE);
@@ -35,7 +42,12 @@
       console.err().println("--remote-cost-factor is not a number from 1 on: " + remoteCostFactor);
       return ExitCode.REFUSED;
     }
-    FrontProcess.run(file == null ? Path.of(fileFromEnvironment) : file, remoteCostFactor);
+    if (!(hedgeShare >= 0 && hedgeShare <= 1)) {
+      console.err().println("--hedge-share must be between 0 and 1: " + hedgeShare);
+      return ExitCode.REFUSED;
+    }
+    FrontProcess.run(
+        file == null ? Path.of(fileFromEnvironment) : file, remoteCostFactor, hedgeShare);
     return ExitCode.SUCCESS;
   }
 }
--- a/snipewick/src/main/java/org/snipewick/placement/EndpointsSummary.java
+++ b/snipewick/src/main/java/org/snipewick/placement/EndpointsSummary.java
@@ -18,8 +18,7 @@
   private final double permittedPerSecond;
   private int ownInFlight;
 
-  EndpointsSummary(
-      Collection<EndpointLoad> endpoints, EndpointPermits permits, long nowNanos) {
+  EndpointsSummary(Collection<EndpointLoad> endpoints, EndpointPermits permits, long nowNanos) {
     this.endpoints = requireNonNull(endpoints, "endpoints");
     this.permits = requireNonNull(permits, "permits");
     this.nowNanos = nowNanos;
--- a/snipewick/src/main/java/org/snipewick/placement/PoolPlacement.java
+++ b/snipewick/src/main/java/org/snipewick/placement/PoolPlacement.java
@@ -211,6 +211,21 @@
     return decisions;
   }
 
+  /**
+   * Places a request that is not to wait, if no other one waits and an endpoint has a free slot.
+   *
+   * @param request request, which is not added to the queue
+   * @param nowNanos current monotonic time, in nanoseconds
+   * @return decision; empty if the request cannot be placed now
+   */
+  public Optional<PlacementDecision.Placed> tryPlace(WaitingRequest request, long nowNanos) {
+    return waiting.isEmpty()
+        ? choice
+            .choose(endpoints.values(), request, permits, nowNanos)
+            .map(load -> placed(request, load, nowNanos))
+        : Optional.empty();
+  }
+
   private Optional<PlacementDecision> decide(
       WaitingRequest request, int requestsAhead, EndpointsSummary summary, long nowNanos) {
     if (!summary.hasCandidate(request)) {
@@ -236,21 +251,24 @@
     if (nowNanos - request.arrivedNanos()
         > waitLimit.maxWaitNanos(request, request.arrivedNanos())) {
       return Optional.of(
-          refused(request, PlacementDecision.Reason.WAITED_TOO_LONG, requestsAhead, summary, nowNanos));
+          refused(
+              request, PlacementDecision.Reason.WAITED_TOO_LONG, requestsAhead, summary, nowNanos));
     }
-    if (expectedWaitNanos(requestsAhead + 1, summary)
-        > waitLimit.maxWaitNanos(request, nowNanos)) {
+    if (expectedWaitNanos(requestsAhead + 1, summary) > waitLimit.maxWaitNanos(request, nowNanos)) {
       return Optional.of(
-          refused(request, PlacementDecision.Reason.QUEUE_TOO_LONG, requestsAhead, summary, nowNanos));
+          refused(
+              request, PlacementDecision.Reason.QUEUE_TOO_LONG, requestsAhead, summary, nowNanos));
     }
     return Optional.empty();
   }
 
-  private PlacementDecision placed(WaitingRequest request, EndpointLoad load, long nowNanos) {
+  private PlacementDecision.Placed placed(
+      WaitingRequest request, EndpointLoad load, long nowNanos) {
     int inFlight = load.estimatedInFlight(nowNanos);
     load.begin(request.promptTokens());
     permits.use(load.endpoint().id(), nowNanos);
-    return new PlacementDecision.Placed(request, load.endpoint(), inFlight, waiting.size() - 1);
+    return new PlacementDecision.Placed(
+        request, load.endpoint(), inFlight, Math.max(0, waiting.size() - 1));
   }
 
   private PlacementDecision refused(
