--- a/snipewick/src/test/java/org/snipewick/feed/FeedFleetTest.java
+++ b/snipewick/src/test/java/org/snipewick/feed/FeedFleetTest.java
@@ -123,7 +123,9 @@
         fleet.frozen.add(reader.instance);
         fleet.timer.advance(Duration.ofMillis(70 * round));
         fleet.store.write(FeedFleet.CONFIGURATION, "config");
-        fleet.timer.advance(Duration.ofMillis(300));
+        fleet.timer.advance(Duration.ofMillis(150));
+        fleet.store.write(FeedFleet.CONFIGURATION, "config");
+        fleet.timer.advance(Duration.ofMillis(150));
         reader.suspended = reader.suspended.plusMillis(300 + 70 * round);
         reader.wake();
       }
