--- a/snipewick/src/main/java/org/snipewick/placement/PoolPlacement.java
+++ b/snipewick/src/main/java/org/snipewick/placement/PoolPlacement.java
@@ -183,6 +183,21 @@
     return waiting.removeIf(request -> request.id().equals(id));
   }
 
+  /**
+   * Places a request that is not to wait, if no other one waits and an endpoint has a free slot.
+   *
+   * @param request request, which is not added to the queue
+   * @param nowNanos current monotonic time, in nanoseconds
+   * @return decision; empty if the request cannot be placed now
+   */
+  public Optional<PlacementDecision.Placed> tryPlace(WaitingRequest request, long nowNanos) {
+    return waiting.isEmpty()
+        ? choice
+            .choose(endpoints.values(), request, permits, nowNanos)
+            .map(load -> placed(request, load, nowNanos))
+        : Optional.empty();
+  }
+
   /**
    * Decides about all waiting requests that can be placed or must be refused now.
    *
@@ -211,21 +226,6 @@
     return decisions;
   }
 
-  /**
-   * Places a request that is not to wait, if no other one waits and an endpoint has a free slot.
-   *
-   * @param request request, which is not added to the queue
-   * @param nowNanos current monotonic time, in nanoseconds
-   * @return decision; empty if the request cannot be placed now
-   */
-  public Optional<PlacementDecision.Placed> tryPlace(WaitingRequest request, long nowNanos) {
-    return waiting.isEmpty()
-        ? choice
-            .choose(endpoints.values(), request, permits, nowNanos)
-            .map(load -> placed(request, load, nowNanos))
-        : Optional.empty();
-  }
-
   private Optional<PlacementDecision> decide(
       WaitingRequest request, int requestsAhead, EndpointsSummary summary, long nowNanos) {
     if (!summary.hasCandidate(request)) {
