Move pools to another version on order, within bounds on exposure

An order in the operators' table asks to move a pool to endpoints of another version. Nothing read such orders, and new endpoints got as many requests as old ones. Requests carry a filter for endpoints, which the placement honors. It runs only where the settings list the contract.

--- a/snipewick/src/main/java/org/snipewick/event/EventType.java
+++ b/snipewick/src/main/java/org/snipewick/event/EventType.java
@@ -88,6 +88,16 @@
   PART_RELEASED(409, Level.INFO, "prompt part released"),
   /** An endpoint named the rate of requests that it takes, changed it, or no longer names one. */
   ENDPOINT_LIMITED(410, Level.INFO, "endpoint limited"),
+  /** An order to move a pool to another version has started. */
+  ROLLOUT_STARTED(420, Level.INFO, "rollout started"),
+  /** All requests to a pool go to the new version from now on. */
+  ROLLOUT_MOVING(421, Level.INFO, "rollout moves all requests"),
+  /** The new version of a pool is the one in use. */
+  ROLLOUT_COMPLETE(422, Level.INFO, "rollout complete"),
+  /** The new version of a pool receives nothing any more; the reason is in the details. */
+  ROLLOUT_ROLLED_BACK(423, Level.WARNING, "rollout rolled back"),
+  /** An order of the operator could not be parsed and was ignored. */
+  ROLLOUT_ORDER_MALFORMED(424, Level.WARNING, "rollout order malformed"),
   /** The platform no longer responds. */
   PLATFORM_LOST(500, Level.WARNING, "platform unavailable"),
   /** The platform responds again. */
--- a/snipewick/src/main/java/org/snipewick/placement/PoolPlacement.java
+++ b/snipewick/src/main/java/org/snipewick/placement/PoolPlacement.java
@@ -127,21 +127,24 @@
     waiting.sort(order.at(nowNanos));
     Iterator<WaitingRequest> iterator = waiting.iterator();
     int requestsAhead = 0;
+    Set<EndpointFilter> blocked = new HashSet<>();
     while (iterator.hasNext()) {
       WaitingRequest request = iterator.next();
-      Optional<PlacementDecision> decision = decide(request, requestsAhead, nowNanos);
+      Optional<PlacementDecision> decision =
+          decide(request, requestsAhead, !blocked.contains(request.filter()), nowNanos);
       if (decision.isPresent()) {
         iterator.remove();
         decisions.add(decision.get());
       } else {
         requestsAhead++;
+        blocked.add(request.filter());
       }
     }
     return decisions;
   }
 
   private Optional<PlacementDecision> decide(
-      WaitingRequest request, int requestsAhead, long nowNanos) {
+      WaitingRequest request, int requestsAhead, boolean isNext, long nowNanos) {
     if (!hasCandidate(request)) {
       return Optional.of(
           refused(request, PlacementDecision.Reason.NO_ENDPOINT, requestsAhead, nowNanos));
@@ -154,7 +157,7 @@
               PlacementDecision.Reason.ENDPOINTS_PAUSED,
               ReturnSchedule.atLeastMinimum(Duration.ofNanos(pauseNanos))));
     }
-    if (requestsAhead == 0) {
+    if (isNext) {
       Optional<EndpointLoad> free = chooseEndpoint(request, nowNanos);
       if (free.isPresent()) {
         return Optional.of(placed(request, free.get(), nowNanos));
@@ -187,7 +190,8 @@
   }
 
   private static boolean maySendTo(EndpointLoad load, WaitingRequest request) {
-    return !request.triedEndpoints().contains(load.endpoint().id());
+    return !request.triedEndpoints().contains(load.endpoint().id())
+        && request.filter().allows(load.endpoint());
   }
 
   /**
--- a/snipewick/src/main/java/org/snipewick/placement/WaitingRequest.java
+++ b/snipewick/src/main/java/org/snipewick/placement/WaitingRequest.java
@@ -18,6 +18,7 @@
  *     of use to the caller, in nanoseconds
  * @param promptTokens tokens of its prompt, whose prefill precedes the first event of the answer
  * @param triedEndpoints endpoints that it was sent to before and is not sent to again
+ * @param filter restricts the endpoints that it may be sent to
  */
 public record WaitingRequest(
     String id,
@@ -26,12 +27,44 @@
     long onTimeUntilNanos,
     long latestResponseStartNanos,
     long promptTokens,
-    Set<EndpointId> triedEndpoints) {
+    Set<EndpointId> triedEndpoints,
+    EndpointFilter filter) {
 
   /** Checks that no component is null and copies the set. */
   public WaitingRequest {
     requireNonNull(id, "id");
     requireNonNull(tier, "tier");
+    requireNonNull(filter, "filter");
     triedEndpoints = Set.copyOf(triedEndpoints);
   }
+
+  /**
+   * Creates a request that may be sent to any endpoint.
+   *
+   * @param id identifier
+   * @param tier tier
+   * @param arrivedNanos time of its arrival
+   * @param onTimeUntilNanos latest time at which its answer can begin and meet the target latency
+   * @param latestResponseStartNanos latest time at which its answer can begin and be of use
+   * @param promptTokens tokens of its prompt
+   * @param triedEndpoints endpoints that it was sent to before
+   */
+  public WaitingRequest(
+      String id,
+      Tier tier,
+      long arrivedNanos,
+      long onTimeUntilNanos,
+      long latestResponseStartNanos,
+      long promptTokens,
+      Set<EndpointId> triedEndpoints) {
+    this(
+        id,
+        tier,
+        arrivedNanos,
+        onTimeUntilNanos,
+        latestResponseStartNanos,
+        promptTokens,
+        triedEndpoints,
+        EndpointFilter.ANY);
+  }
 }
--- a/snipewick/src/main/java/org/snipewick/platform/EndpointCodec.java
+++ b/snipewick/src/main/java/org/snipewick/platform/EndpointCodec.java
@@ -39,7 +39,8 @@
         address.getHostString(),
         address.getPort(),
         fields.integerWithin("slots", 1, Integer.MAX_VALUE),
-        isDraining(fields.text("state")));
+        isDraining(fields.text("state")),
+        fields.optionalText("version").orElse(""));
   }
 
   /**
--- a/snipewick/src/main/java/org/snipewick/platform/FrontProcess.java
+++ b/snipewick/src/main/java/org/snipewick/platform/FrontProcess.java
@@ -7,7 +7,10 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
@@ -36,6 +39,9 @@
 import org.snipewick.relay.HealthServer;
 import org.snipewick.relay.RelayDependencies;
 import org.snipewick.relay.RelayServer;
+import org.snipewick.rollout.RolloutStore;
+import org.snipewick.rollout.Rollouts;
+import org.snipewick.rollout.TrafficSplit;
 import org.snipewick.route.PlanController;
 import org.snipewick.route.TeamQuota;
 import org.snipewick.store.MirrorListener;
@@ -126,6 +132,7 @@
   private final TeamQuotas quotas;
   private final MemoryAccount memory;
   private final Quarantine quarantine;
+  private final Optional<Rollouts> rollouts;
   private final SystemTimerService peerTimer = SystemTimerService.of("peers-timer");
   private final RelayServer relay;
   private final EndpointRegistry registry;
@@ -155,8 +162,29 @@
     metrics.gauge("held_bytes", () -> memory::heldBytes);
     quarantine = Quarantine.of(settings.instance(), store, timer, events, new SplittableRandom());
     metrics.gauge("quarantined_parts", () -> quarantine::size);
+    rollouts =
+        settings
+            .rollouts()
+            .map(
+                bounds ->
+                    Rollouts.start(
+                        settings.instance(),
+                        settings.domain(),
+                        bounds,
+                        new RolloutStore(store, store, store),
+                        timer,
+                        events,
+                        metrics,
+                        new SplittableRandom()));
     relay = RelayServer.listen(eventloop, settings.callers(), relayDependencies(transport));
-    registry = EndpointRegistry.of(timer, events, relay::updateEndpoints);
+    registry =
+        EndpointRegistry.of(
+            timer,
+            events,
+            endpoints -> {
+              rollouts.ifPresent(present -> present.setEndpoints(endpoints));
+              relay.updateEndpoints(endpoints);
+            });
     relay.onDepartureAnnounced(registry::onDepartureAnnounced);
     PrometheusText prometheus = PrometheusText.of(metrics);
     HealthServer.listen(eventloop, settings.health(), this::isReady, prometheus::write);
@@ -191,6 +219,7 @@
         plans,
         quotas,
         quarantine,
+        rollouts.<TrafficSplit>map(present -> present).orElse(TrafficSplit.NONE),
         transport,
         memory,
         PlatformHeaders.NAMES,
@@ -204,7 +233,9 @@
 
   private void startMirrors(SingleAttemptStore store) {
     ConfigurationListener configuration = new ConfigurationListener(plans, events);
-    startMirror(store, CONFIGURATION_TABLE, CONFIGURATION_POLLS, configuration);
+    List<MirrorListener> listeners = new ArrayList<>(List.of(configuration));
+    rollouts.ifPresent(present -> listeners.add(new RolloutOrderListener(present, events)));
+    startMirror(store, CONFIGURATION_TABLE, CONFIGURATION_POLLS, MirrorListener.ofAll(listeners));
     startMirror(
         store,
         PlatformStoreAdapter.ENDPOINT_TABLE,
@@ -242,7 +273,7 @@
             events,
             new SplittableRandom());
     quotas.join(network, eventloop, store, store, incarnation);
-    PeerReports reports = new PeerReports(self, quotas, relay);
+    PeerReports reports = new PeerReports(self, quotas, relay, rollouts);
     Fleet fleet = Fleet.start(self, network, eventloop, timer, events, reports::report, reports);
     startMirror(store, FleetMember.TABLE, INSTANCE_POLLS, fleet);
     configuration.setProofExchange(
@@ -255,6 +286,7 @@
         && plans.hasFreshProof()
         && relay.hasAcceptingEndpoint()
         && quarantine.isLoaded()
+        && rollouts.map(Rollouts::isLoaded).orElse(true)
         && quotas.isReady();
   }
 
--- a/snipewick/src/main/java/org/snipewick/platform/NodeSettings.java
+++ b/snipewick/src/main/java/org/snipewick/platform/NodeSettings.java
@@ -9,12 +9,14 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.Optional;
 import org.snipewick.failure.Failure;
 import org.snipewick.failure.FailureType;
 import org.snipewick.identity.FailureDomain;
 import org.snipewick.identity.InstanceId;
 import org.snipewick.identity.IpAddress;
 import org.snipewick.quota.QuotaBounds;
+import org.snipewick.rollout.RolloutBounds;
 
 /**
  * Settings that the platform passes to a process.
@@ -35,6 +37,8 @@
  * @param retryWindow time over which requests and retries are counted; "bounds.budget_window_s"
  * @param quotas how far quotas may be exceeded; "bounds.quota_window_s", "quota_over" and
  *     "quota_slack"
+ * @param rollouts bounds of rollouts, empty unless "contracts" lists them; "bounds.expose_share",
+ *     "expose_slack" and "rollback_ms"
  * @param isFirstStart whether the whole system starts for the first time; "first_start"
  */
 public record NodeSettings(
@@ -50,8 +54,10 @@
     double additionalRetries,
     Duration retryWindow,
     QuotaBounds quotas,
+    Optional<RolloutBounds> rollouts,
     boolean isFirstStart) {
   private static final ObjectMapper YAML = new ObjectMapper(new YAMLFactory());
+  private static final String ROLLOUT_CONTRACT = "rollout";
   private static final double MILLIS_PER_SECOND = 1000;
 
   /** Checks the components. */
@@ -66,6 +72,7 @@
     requireNonNull(stopGrace, "stopGrace");
     requireNonNull(retryWindow, "retryWindow");
     requireNonNull(quotas, "quotas");
+    requireNonNull(rollouts, "rollouts");
   }
 
   /**
@@ -106,9 +113,20 @@
             seconds(bounds.number("quota_window_s")),
             bounds.number("quota_over"),
             bounds.number("quota_slack")),
+        rollouts(fields, bounds),
         fields.bool("first_start"));
   }
 
+  private static Optional<RolloutBounds> rollouts(Fields fields, Fields bounds) {
+    return fields.strings("contracts").contains(ROLLOUT_CONTRACT)
+        ? Optional.of(
+            new RolloutBounds(
+                bounds.number("expose_share"),
+                bounds.number("expose_slack"),
+                bounds.millis("rollback_ms")))
+        : Optional.empty();
+  }
+
   private static int firstPort(JsonNode range) {
     JsonNode first = range.path(0);
     if (!first.canConvertToInt() || first.intValue() < 1) {
--- a/snipewick/src/main/java/org/snipewick/platform/PeerReports.java
+++ b/snipewick/src/main/java/org/snipewick/platform/PeerReports.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.snipewick.fleet.Fleet;
 import org.snipewick.fleet.FleetMember;
@@ -14,20 +15,24 @@
 import org.snipewick.fleet.PeerTotals;
 import org.snipewick.fleet.Totals;
 import org.snipewick.identity.EndpointId;
+import org.snipewick.identity.FailureDomain;
 import org.snipewick.identity.InstanceId;
 import org.snipewick.quota.TeamQuotas;
 import org.snipewick.relay.RelayServer;
+import org.snipewick.rollout.Rollouts;
 
 /** Reports held slots and requests in flight to the peers, and applies the sums over the peers. */
 final class PeerReports implements Fleet.Listener {
   private final FleetMember self;
   private final TeamQuotas quotas;
   private final RelayServer relay;
+  private final Optional<Rollouts> rollouts;
 
-  PeerReports(FleetMember self, TeamQuotas quotas, RelayServer relay) {
+  PeerReports(FleetMember self, TeamQuotas quotas, RelayServer relay, Optional<Rollouts> rollouts) {
     this.self = requireNonNull(self, "self");
     this.quotas = requireNonNull(quotas, "quotas");
     this.relay = requireNonNull(relay, "relay");
+    this.rollouts = requireNonNull(rollouts, "rollouts");
   }
 
   /** Returns the report of this instance. */
@@ -45,6 +50,9 @@
     Set<InstanceId> instances = new HashSet<>();
     members.forEach(member -> instances.add(member.instance()));
     relay.setPeers(instances);
+    Map<InstanceId, FailureDomain> domains = new HashMap<>();
+    all.forEach(member -> domains.put(member.instance(), member.domain()));
+    rollouts.ifPresent(present -> present.setMembers(domains));
   }
 
   @Override
--- a/snipewick/src/main/java/org/snipewick/registry/RegisteredEndpoint.java
+++ b/snipewick/src/main/java/org/snipewick/registry/RegisteredEndpoint.java
@@ -17,6 +17,7 @@
  * @param port HTTP port, 1 to 65,535
  * @param slots number of requests that it can run at the same time, 1 to 100,000
  * @param isLeaving whether the endpoint accepts no new requests
+ * @param version version of the software that it runs; empty if it states none
  */
 public record RegisteredEndpoint(
     EndpointId id,
@@ -26,7 +27,8 @@
     String host,
     int port,
     int slots,
-    boolean isLeaving) {
+    boolean isLeaving,
+    String version) {
   private static final int MAX_PORT = 65_535;
 
   /** Far more than an endpoint runs at the same time; sums over many endpoints cannot overflow. */
@@ -42,6 +44,7 @@
     requireNonNull(pool, "pool");
     requireNonNull(domain, "domain");
     requireNonNull(host, "host");
+    requireNonNull(version, "version");
     if (slots < 1 || slots > MAX_SLOTS) {
       throw new IllegalArgumentException("slots must be 1 to " + MAX_SLOTS + " for endpoint " + id);
     }
@@ -50,12 +53,37 @@
     }
   }
 
+  /**
+   * Creates an entry of an endpoint that states no version.
+   *
+   * @param id name of the endpoint
+   * @param startedEpochMillis start of this incarnation
+   * @param pool pool that the endpoint belongs to
+   * @param domain failure domain
+   * @param host IP address
+   * @param port HTTP port
+   * @param slots number of requests that it can run at the same time
+   * @param isLeaving whether the endpoint accepts no new requests
+   */
+  public RegisteredEndpoint(
+      EndpointId id,
+      long startedEpochMillis,
+      PoolName pool,
+      FailureDomain domain,
+      String host,
+      int port,
+      int slots,
+      boolean isLeaving) {
+    this(id, startedEpochMillis, pool, domain, host, port, slots, isLeaving, "");
+  }
+
   /**
    * Returns this entry marked as leaving.
    *
    * @return entry of the same incarnation that accepts no new requests
    */
   public RegisteredEndpoint asLeaving() {
-    return new RegisteredEndpoint(id, startedEpochMillis, pool, domain, host, port, slots, true);
+    return new RegisteredEndpoint(
+        id, startedEpochMillis, pool, domain, host, port, slots, true, version);
   }
 }
--- a/snipewick/src/main/java/org/snipewick/relay/RelayAttempt.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayAttempt.java
@@ -6,6 +6,7 @@
 import org.snipewick.placement.AttemptResult;
 import org.snipewick.placement.PoolPlacement;
 import org.snipewick.registry.RegisteredEndpoint;
+import org.snipewick.rollout.RequestVersion;
 import org.snipewick.transport.Exchange;
 
 /** One attempt to run a request at an endpoint; uses one of the endpoint's slots until it ends. */
@@ -16,6 +17,7 @@
   private final long placedNanos;
   private final Exchange exchange = Exchange.of();
   private Progress progress = Progress.SENT;
+  private RequestVersion version = RequestVersion.ANY;
   private boolean isPrefillEnded;
   private boolean hasEnded;
 
@@ -37,6 +39,22 @@
     BODY
   }
 
+  /** Sets the version for which the attempt counts, and records that it is sent. */
+  void countFor(RequestVersion chosen, long nowNanos) {
+    version = requireNonNull(chosen, "chosen");
+    version.started(endpoint, nowNanos);
+  }
+
+  /** Records that the first event of a stream has arrived. */
+  void firstEventReceived(long nowNanos) {
+    version.responded(nowNanos);
+  }
+
+  /** Counts the response as a failure of the endpoint's version, even if the attempt goes on. */
+  void countFailure() {
+    version.failed();
+  }
+
   RegisteredEndpoint endpoint() {
     return endpoint;
   }
@@ -72,6 +90,11 @@
     if (!hasEnded) {
       hasEnded = true;
       endPrefill();
+      if (result == AttemptResult.FAILED) {
+        version.failed();
+      } else if (result == AttemptResult.ANSWERED) {
+        version.responded(nowNanos);
+      }
       placement.end(endpoint.id(), result, placedNanos, nowNanos);
     }
   }
@@ -91,7 +114,11 @@
    * Records the mean time per chunk of a stream, if known, as a measure of the endpoint's speed.
    */
   void recordChunkTime(Optional<Double> nanosPerChunk, long nowNanos) {
-    nanosPerChunk.ifPresent(nanos -> placement.recordServiceTime(endpoint.id(), nanos, nowNanos));
+    nanosPerChunk.ifPresent(
+        nanos -> {
+          version.spaced(nanos);
+          placement.recordServiceTime(endpoint.id(), nanos, nowNanos);
+        });
   }
 
   /** Closes the connection, which makes the endpoint cancel the request, and frees the slot. */
--- a/snipewick/src/main/java/org/snipewick/relay/RelayCall.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayCall.java
@@ -14,6 +14,7 @@
 import org.snipewick.identity.EndpointId;
 import org.snipewick.identity.PoolName;
 import org.snipewick.identity.Tier;
+import org.snipewick.rollout.RequestVersion;
 import org.snipewick.route.Route;
 import org.snipewick.route.RoutingPlan;
 import org.snipewick.route.TeamPlan;
@@ -38,6 +39,7 @@
   private Optional<RelayStream> stream = Optional.empty();
   private TimerService.Subscription deadlineTimer = () -> {};
   private Runnable onFinished = () -> {};
+  private RequestVersion version = RequestVersion.ANY;
   private boolean isFinished;
 
   RelayCall(RelayRequest request, RequestBodies.KeptBody body) {
@@ -160,6 +162,15 @@
     return mayHaveRun() ? Failure.unknown(FailureType.OUTCOME_UNKNOWN, failure.detail()) : failure;
   }
 
+  /** Sets the version of the endpoints for the next attempt. */
+  void setVersion(RequestVersion chosen) {
+    version = requireNonNull(chosen, "chosen");
+  }
+
+  RequestVersion version() {
+    return version;
+  }
+
   void setWaitingId(String id) {
     waitingId = requireNonNull(id, "id");
   }
--- a/snipewick/src/main/java/org/snipewick/relay/RelayDependencies.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayDependencies.java
@@ -10,6 +10,7 @@
 import org.snipewick.memory.MemoryAccount;
 import org.snipewick.quarantine.Quarantine;
 import org.snipewick.quota.TeamQuotas;
+import org.snipewick.rollout.TrafficSplit;
 import org.snipewick.route.PlanController;
 import org.snipewick.time.TimerService;
 import org.snipewick.transport.HttpTransport;
@@ -21,6 +22,7 @@
  * @param plans source of the current routing plan
  * @param quotas quotas of teams
  * @param quarantine prompt parts that must not be sent to endpoints
+ * @param trafficSplit division of the requests between versions of endpoints
  * @param transport HTTP client for endpoints
  * @param memory account of the bytes that are kept for callers and endpoints
  * @param headerNames names of the headers that the relay reads or sets
@@ -35,6 +37,7 @@
     PlanController plans,
     TeamQuotas quotas,
     Quarantine quarantine,
+    TrafficSplit trafficSplit,
     HttpTransport transport,
     MemoryAccount memory,
     HeaderNames headerNames,
@@ -50,6 +53,7 @@
     requireNonNull(plans, "plans");
     requireNonNull(quotas, "quotas");
     requireNonNull(quarantine, "quarantine");
+    requireNonNull(trafficSplit, "trafficSplit");
     requireNonNull(transport, "transport");
     requireNonNull(memory, "memory");
     requireNonNull(headerNames, "headerNames");
--- a/snipewick/src/main/java/org/snipewick/relay/RelayDispatcher.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayDispatcher.java
@@ -25,6 +25,7 @@
 import org.snipewick.placement.PoolPlacement;
 import org.snipewick.placement.WaitingRequest;
 import org.snipewick.registry.RegisteredEndpoint;
+import org.snipewick.rollout.RequestVersion;
 import org.snipewick.route.CallKind;
 
 /**
@@ -124,6 +125,7 @@
         dependencies.timer().after(timeLeft, () -> runGuarded(call, () -> deadlinePassed(call))));
     quarantine.begin(call);
     pools.retryBudget(call.pool()).countRequest(now());
+    dependencies.trafficSplit().countRequest(call.pool());
     enqueue(call);
   }
 
@@ -206,6 +208,14 @@
   }
 
   private void enqueue(RelayCall call) {
+    call.version().end(now());
+    RequestVersion version =
+        dependencies.trafficSplit().choose(call.pool(), call.route().name(), call.attempts() > 0);
+    call.setVersion(version);
+    if (version.isHeld()) {
+      dependencies.timer().after(PLACEMENT_PERIOD, () -> enqueueIfOpen(call));
+      return;
+    }
     String waitingId = Long.toString(nextWaitingId++);
     call.setWaitingId(waitingId);
     waiting.put(waitingId, call);
@@ -219,10 +229,17 @@
                 call.onTimeUntilNanos(),
                 call.latestResponseStartNanos(),
                 call.request().promptTokens(),
-                call.triedEndpoints()));
+                call.triedEndpoints(),
+                version.filter()));
     decidePlacement(call.pool());
   }
 
+  private void enqueueIfOpen(RelayCall call) {
+    if (!call.isFinished()) {
+      runGuarded(call, () -> enqueue(call));
+    }
+  }
+
   @Override
   public void decidePlacement(PoolName name) {
     PoolPlacement pool = pools.placement(name);
@@ -288,6 +305,7 @@
       return;
     }
     call.beginAttempt(attempt);
+    attempt.countFor(call.version(), now());
     telemetry.dispatched(call, placed, now());
     dependencies
         .transport()
@@ -422,6 +440,7 @@
       if (!(thrown instanceof FailureException)) {
         // Not for a response that this instance has broken off, which is no crash.
         quarantine.recordBrokenResponse(call, attempt);
+        attempt.countFailure();
       }
     }
   }
@@ -524,7 +543,11 @@
   }
 
   private void finish(RelayCall call) {
-    Steps.runAll(() -> openCalls.remove(call), () -> quarantine.end(call), call::finish);
+    Steps.runAll(
+        () -> openCalls.remove(call),
+        () -> quarantine.end(call),
+        () -> call.version().end(now()),
+        call::finish);
   }
 
   private long now() {
--- a/snipewick/src/main/java/org/snipewick/relay/StreamForwarder.java
+++ b/snipewick/src/main/java/org/snipewick/relay/StreamForwarder.java
@@ -95,6 +95,7 @@
     } else {
       attempt.advance(RelayAttempt.Progress.BODY);
       attempt.endPrefill();
+      attempt.firstEventReceived(timer.nanoTime());
       ChannelSupplier<ByteBuf> all =
           first == null ? body : ChannelSuppliers.concat(ChannelSupplier.of(first), body);
       begin(call, head, all);
--- a/snipewick/src/main/java/org/snipewick/store/MirrorListener.java
+++ b/snipewick/src/main/java/org/snipewick/store/MirrorListener.java
@@ -30,4 +30,35 @@
 
   /** Called when the table can be read again. */
   default void onAvailableAgain() {}
+
+  /**
+   * Returns a listener that passes everything on to others, in their order.
+   *
+   * @param listeners listeners; each ignores the rows that are not for it
+   * @return listener to one mirror
+   */
+  static MirrorListener ofAll(List<MirrorListener> listeners) {
+    List<MirrorListener> all = List.copyOf(listeners);
+    return new MirrorListener() {
+      @Override
+      public void onRows(List<TableRow> rows, Moment sentAt) {
+        all.forEach(listener -> listener.onRows(rows, sentAt));
+      }
+
+      @Override
+      public void onChanges(RowChanges.Delta changes, Moment sentAt) {
+        all.forEach(listener -> listener.onChanges(changes, sentAt));
+      }
+
+      @Override
+      public void onUnavailable() {
+        all.forEach(MirrorListener::onUnavailable);
+      }
+
+      @Override
+      public void onAvailableAgain() {
+        all.forEach(MirrorListener::onAvailableAgain);
+      }
+    };
+  }
 }
--- a/snipewick/src/test/java/org/snipewick/architecture/PackageDependencyTest.java
+++ b/snipewick/src/test/java/org/snipewick/architecture/PackageDependencyTest.java
@@ -28,6 +28,7 @@
     "org.snipewick.store",
     "org.snipewick.endpoint",
     "org.snipewick.quarantine",
+    "org.snipewick.rollout",
     "org.snipewick.peer"
   };
 
--- a/snipewick/src/test/java/org/snipewick/placement/PoolPlacementTest.java
+++ b/snipewick/src/test/java/org/snipewick/placement/PoolPlacementTest.java
@@ -52,6 +52,35 @@
     assertThat(pool.waiting()).isEqualTo(2);
   }
 
+  /** Guards against requests for one version that wait behind those for another one. */
+  @Test
+  void shouldPlaceRequestWhenOneWithAnotherFilterWaitsAhead() {
+    pool.update(List.of(endpoint("old", LOCAL, 4), endpoint("new", LOCAL, 1)));
+    EndpointFilter onlyNew = endpoint -> endpoint.id().value().equals("new");
+    EndpointFilter onlyOld = endpoint -> endpoint.id().value().equals("old");
+    addFiltered("1", onlyNew);
+    addFiltered("2", onlyNew);
+    addFiltered("3", onlyOld);
+    assertThat(pool.decide(nowNanos))
+        .extracting(decision -> decision.request().id())
+        .containsExactly("1", "3");
+  }
+
+  private void addFiltered(String id, EndpointFilter filter) {
+    WaitingRequest any =
+        request(id, Tier.ONE, nowNanos, nowNanos + SECOND_NANOS, nowNanos + 60 * SECOND_NANOS);
+    pool.add(
+        new WaitingRequest(
+            id,
+            any.tier(),
+            any.arrivedNanos(),
+            any.onTimeUntilNanos(),
+            any.latestResponseStartNanos(),
+            0,
+            Set.of(),
+            filter));
+  }
+
   @Test
   void shouldUseLoadReportedByEndpointWhenPeerIsSilent() {
     pool.update(List.of(endpoint("a", LOCAL, 4)));
--- a/snipewick/src/test/java/org/snipewick/platform/EndpointCodecTest.java
+++ b/snipewick/src/test/java/org/snipewick/platform/EndpointCodecTest.java
@@ -28,6 +28,8 @@
     assertThat(endpoint.slots()).isEqualTo(10);
     assertThat(endpoint.startedEpochMillis()).isEqualTo(1_790_000_000_000L);
     assertThat(endpoint.isLeaving()).isFalse();
+    assertThat(endpoint.version()).isEqualTo("v1");
+    assertThat(decode(EXAMPLE.replace("version", "other")).version()).isEmpty();
     assertThat(decode(EXAMPLE.replace("ready", "draining")).isLeaving()).isTrue();
   }
 
--- a/snipewick/src/test/java/org/snipewick/platform/NodeSettingsTest.java
+++ b/snipewick/src/test/java/org/snipewick/platform/NodeSettingsTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.snipewick.failure.FailureException;
+import org.snipewick.rollout.RolloutBounds;
 
 class NodeSettingsTest {
   private static final String EXAMPLE =
@@ -66,6 +67,19 @@
         .hasMessageContaining(field);
   }
 
+  /** Guards against rollouts where the platform does not ask for them. */
+  @Test
+  void shouldReadBoundsOfRolloutsOnlyWhenContractIsListed() throws IOException {
+    String bounds = "bounds:\n  expose_share: 0.1\n  expose_slack: 50\n  rollback_ms: 5000";
+    String listed = EXAMPLE.replace("bounds:", bounds) + "contracts: [quota, rollout]\n";
+    assertThat(read(listed).rollouts()).contains(new RolloutBounds(0.1, 50, Duration.ofSeconds(5)));
+    assertThat(read(listed.replace("rollout]", "other]")).rollouts()).isEmpty();
+    assertThat(read(EXAMPLE).rollouts()).isEmpty();
+    assertThatThrownBy(() -> read(listed.replace("expose_share", "other")))
+        .isInstanceOf(FailureException.class)
+        .hasMessageContaining("expose_share");
+  }
+
   private NodeSettings read(String text) throws IOException {
     return NodeSettings.read(Files.writeString(directory.resolve("node.yaml"), text));
   }
--- a/snipewick/src/test/java/org/snipewick/relay/RelayFixture.java
+++ b/snipewick/src/test/java/org/snipewick/relay/RelayFixture.java
@@ -32,6 +32,7 @@
 import org.snipewick.quota.TeamQuotas;
 import org.snipewick.registry.EndpointRegistry;
 import org.snipewick.registry.RegisteredEndpoint;
+import org.snipewick.rollout.TrafficSplit;
 import org.snipewick.route.PlanController;
 import org.snipewick.route.RoutingPlan;
 import org.snipewick.route.TeamQuota;
@@ -119,6 +120,7 @@
             EventLog.none(),
             new MetricRegistry()),
         quarantine(),
+        TrafficSplit.NONE,
         HttpTransport.of(eventloop, Duration.ofMillis(500), 1_000_000),
         memory,
         NAMES,
--- a/standins/src/main/java/org/snipewick/standins/platform/Registrations.java
+++ b/standins/src/main/java/org/snipewick/standins/platform/Registrations.java
@@ -64,21 +64,25 @@
     int port = instance.path("port").asInt();
     String domain = instance.path("domain").asText();
     Map<String, Object> content =
-        isEntry
-            ? Map.of("domain", domain, "host", host, "port", port)
-            : Map.of(
-                "service",
-                instance.path("pool").asText(),
-                "address",
-                host + ":" + port,
-                "zone",
-                domain,
-                "slots",
-                SLOTS_PER_ENDPOINT,
-                "state",
-                instance.path("state").asText().equals("leaving") ? "draining" : "ready",
-                "born",
-                1L);
+        new TreeMap<>(
+            isEntry
+                ? Map.of("domain", domain, "host", host, "port", port)
+                : Map.of(
+                    "service",
+                    instance.path("pool").asText(),
+                    "address",
+                    host + ":" + port,
+                    "zone",
+                    domain,
+                    "slots",
+                    SLOTS_PER_ENDPOINT,
+                    "state",
+                    instance.path("state").asText().equals("leaving") ? "draining" : "ready",
+                    "born",
+                    1L));
+    if (instance.hasNonNull("version")) {
+      content.put("version", instance.path("version").asText());
+    }
     String value = Base64.getEncoder().encodeToString(Responses.toJson(content).getBytes(UTF_8));
     return new Row(isEntry ? INSTANCES : ENDPOINTS, "", instance.path("id").asText(), value, 0);
   }
