Test decisions of rollouts alone and the choice of a version over sockets

The comparison and the decision were tested only through a whole fleet, and the relay's use of a traffic split not at all. Fixed counts now show when a version is convicted and when an order moves or completes; a scripted endpoint shows that filters, holds and reports of results reach the relay.

--- a/snipewick/src/test/java/org/snipewick/relay/RelayFixture.java
+++ b/snipewick/src/test/java/org/snipewick/relay/RelayFixture.java
@@ -89,6 +89,10 @@
   }
 
   RelayFixture(RoutingPlan plan, EventLog log) {
+    this(plan, log, TrafficSplit.NONE);
+  }
+
+  RelayFixture(RoutingPlan plan, EventLog log, TrafficSplit split) {
     try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
       port = free.getLocalPort();
     } catch (IOException failure) {
@@ -101,14 +105,14 @@
         () -> {
           server =
               RelayServer.listen(
-                  eventloop, new InetSocketAddress("127.0.0.1", port), dependencies(log));
+                  eventloop, new InetSocketAddress("127.0.0.1", port), dependencies(log, split));
           registry = EndpointRegistry.of(timer, EventLog.none(), server::updateEndpoints);
           server.onDepartureAnnounced(registry::onDepartureAnnounced);
           plans.accept(plan, Moment.now(timer));
         });
   }
 
-  private RelayDependencies dependencies(EventLog log) {
+  private RelayDependencies dependencies(EventLog log, TrafficSplit split) {
     return new RelayDependencies(
         DOMAIN,
         plans,
@@ -120,7 +124,7 @@
             EventLog.none(),
             new MetricRegistry()),
         quarantine(),
-        TrafficSplit.NONE,
+        split,
         HttpTransport.of(eventloop, Duration.ofMillis(500), 1_000_000),
         memory,
         NAMES,
