Treat a version of an endpoint that is no text as none

The field version in the row of an endpoint was ignored before rollouts read it. A row in which it has another type would have been skipped as malformed, and its endpoint would have been lost in deployments that have no rollouts. It counts as an endpoint without a version now.

Measured: 143 tests of the platform package pass, with the new case in EndpointCodecTest.

--- a/snipewick/src/main/java/org/snipewick/platform/EndpointCodec.java
+++ b/snipewick/src/main/java/org/snipewick/platform/EndpointCodec.java
@@ -23,7 +23,8 @@
    * Decodes a row.
    *
    * @param row row whose key is the identifier of the endpoint
-   * @return endpoint; its start time is 0 if the field "born" is missing
+   * @return endpoint; its start time is 0 if the field "born" is missing, and its version empty if
+   *     "version" is missing or no text, as it matters for rollouts only
    * @throws IOException if the value is not JSON
    * @throws IllegalArgumentException if another field is missing, or a field has the wrong type or
    *     an invalid value
@@ -40,7 +41,7 @@
         address.getPort(),
         fields.integerWithin("slots", 1, Integer.MAX_VALUE),
         isDraining(fields.text("state")),
-        fields.optionalText("version").orElse(""));
+        fields.textOrEmpty("version"));
   }
 
   /**
--- a/snipewick/src/main/java/org/snipewick/platform/Fields.java
+++ b/snipewick/src/main/java/org/snipewick/platform/Fields.java
@@ -44,6 +44,11 @@
     return isMissing(name) ? Optional.empty() : Optional.of(text(name));
   }
 
+  /** Returns a string; the empty one if the field is missing or has another type. */
+  String textOrEmpty(String name) {
+    return node.path(name).isTextual() ? node.path(name).textValue() : "";
+  }
+
   long integer(String name) {
     JsonNode value = node.path(name);
     if (!value.isIntegralNumber() || !value.canConvertToLong()) {
--- a/snipewick/src/test/java/org/snipewick/platform/EndpointCodecTest.java
+++ b/snipewick/src/test/java/org/snipewick/platform/EndpointCodecTest.java
@@ -30,6 +30,7 @@
     assertThat(endpoint.isLeaving()).isFalse();
     assertThat(endpoint.version()).isEqualTo("v1");
     assertThat(decode(EXAMPLE.replace("version", "other")).version()).isEmpty();
+    assertThat(decode(EXAMPLE.replace("\"v1\"", "7")).version()).isEmpty();
     assertThat(decode(EXAMPLE.replace("ready", "draining")).isLeaving()).isTrue();
   }
 
