--- a/snipewick/src/main/java/org/snipewick/broker/BrokeredPlacer.java
+++ b/snipewick/src/main/java/org/snipewick/broker/BrokeredPlacer.java
@@ -22,6 +22,7 @@
 import org.snipewick.identity.PoolName;
 import org.snipewick.peer.PeerMessage;
 import org.snipewick.peer.PeerNetwork;
+import org.snipewick.placement.EndpointFilter;
 import org.snipewick.placement.LocalPlacer;
 import org.snipewick.placement.PlacementDecision;
 import org.snipewick.placement.PlacementListener;
@@ -34,7 +35,8 @@
 /**
  * Lets the broker of the failure domain place requests in a large fleet, and places them by the
  * queues of this instance in a small one, as the broker itself, and while the broker does not
- * reply. Not thread-safe: all calls must run on one thread.
+ * reply. Requests that are restricted to some endpoints are placed by the queues of this instance,
+ * as the restriction is not sent to the broker. Not thread-safe: all calls must run on one thread.
  */
 public final class BrokeredPlacer implements RequestPlacer {
   /**
@@ -180,6 +182,11 @@
       local.place(pool, request, listener);
       return;
     }
+    if (request.filter() != EndpointFilter.ANY) {
+      // The broker does not know the filter and might grant an endpoint that it excludes.
+      placeByOwnQueue(pool, request, listener);
+      return;
+    }
     BrokerLink link = link(chosen);
     if (link.isSuspected()) {
       placeHere(pool, request, listener);
@@ -207,11 +214,15 @@
         peer -> new BrokerLink(peer, timer, random, message -> network.send(peer, message)));
   }
 
+  private void placeByOwnQueue(PoolName pool, WaitingRequest request, PlacementListener listener) {
+    local.pool(pool).setInstances(choices.candidates().instances());
+    local.place(pool, request, listener);
+  }
+
   /** Places a request by the queue of this instance, which the broker should have placed. */
   private void placeHere(PoolName pool, WaitingRequest request, PlacementListener listener) {
     fallbacks.inc();
-    local.pool(pool).setInstances(choices.candidates().instances());
-    local.place(pool, request, listener);
+    placeByOwnQueue(pool, request, listener);
   }
 
   private void placeHere(PendingRequest request) {
--- a/snipewick/src/main/java/org/snipewick/placement/EndpointChoice.java
+++ b/snipewick/src/main/java/org/snipewick/placement/EndpointChoice.java
@@ -53,9 +53,10 @@
     remoteShare.onPeersInFlight();
   }
 
-  /** Returns whether a request was not sent to an endpoint before. */
+  /** Returns whether a request was not sent to an endpoint before and its filter allows it. */
   static boolean maySendTo(EndpointLoad load, WaitingRequest request) {
-    return !request.triedEndpoints().contains(load.endpoint().id());
+    return !request.triedEndpoints().contains(load.endpoint().id())
+        && request.filter().allows(load.endpoint());
   }
 
   /**
--- a/snipewick/src/main/java/org/snipewick/placement/EndpointsSummary.java
+++ b/snipewick/src/main/java/org/snipewick/placement/EndpointsSummary.java
@@ -6,8 +6,8 @@
 
 /**
  * What the endpoints of a pool are for one round of decisions. Values that are the same for all
- * requests that were not sent yet are calculated once, as a broker may have hundreds that wait. Not
- * thread-safe.
+ * requests that may be sent to any endpoint are calculated once, as a broker may have hundreds that
+ * wait. Not thread-safe.
  */
 final class EndpointsSummary {
   private final Collection<EndpointLoad> endpoints;
@@ -34,14 +34,14 @@
 
   /** Returns whether there is an endpoint that the request may be sent to. */
   boolean hasCandidate(WaitingRequest request) {
-    return request.triedEndpoints().isEmpty()
+    return isUnrestricted(request)
         ? hasAccepting
         : endpoints.stream().anyMatch(load -> isCandidate(load, request));
   }
 
   /** Returns the time until an endpoint that may run the request has not asked for a pause. */
   long shortestRequestedPauseNanos(WaitingRequest request) {
-    return request.triedEndpoints().isEmpty()
+    return isUnrestricted(request)
         ? shortestPauseNanos
         : endpoints.stream()
             .filter(load -> isCandidate(load, request))
@@ -50,6 +50,10 @@
             .orElse(0);
   }
 
+  private static boolean isUnrestricted(WaitingRequest request) {
+    return request.triedEndpoints().isEmpty() && request.filter() == EndpointFilter.ANY;
+  }
+
   private static boolean isCandidate(EndpointLoad load, WaitingRequest request) {
     return !load.endpoint().isLeaving() && EndpointChoice.maySendTo(load, request);
   }
--- a/snipewick/src/main/java/org/snipewick/placement/PoolPlacement.java
+++ b/snipewick/src/main/java/org/snipewick/placement/PoolPlacement.java
@@ -143,7 +143,8 @@
    *
    * @param endpoint name of the endpoint
    * @param request request
-   * @return entry; empty if the endpoint is not listed, is leaving or has been tried
+   * @return entry; empty if the endpoint is not listed, is leaving, has been tried or is not
+   *     allowed
    */
   public Optional<RegisteredEndpoint> findAccepting(EndpointId endpoint, WaitingRequest request) {
     return Optional.ofNullable(endpoints.get(endpoint))
@@ -186,21 +187,28 @@
     EndpointsSummary summary = new EndpointsSummary(endpoints.values(), nowNanos);
     Iterator<WaitingRequest> iterator = waiting.iterator();
     int requestsAhead = 0;
+    Set<EndpointFilter> blocked = new HashSet<>();
     while (iterator.hasNext()) {
       WaitingRequest request = iterator.next();
-      Optional<PlacementDecision> decision = decide(request, requestsAhead, summary, nowNanos);
+      Optional<PlacementDecision> decision =
+          decide(request, requestsAhead, !blocked.contains(request.filter()), summary, nowNanos);
       if (decision.isPresent()) {
         iterator.remove();
         decisions.add(decision.get());
       } else {
         requestsAhead++;
+        blocked.add(request.filter());
       }
     }
     return decisions;
   }
 
   private Optional<PlacementDecision> decide(
-      WaitingRequest request, int requestsAhead, EndpointsSummary summary, long nowNanos) {
+      WaitingRequest request,
+      int requestsAhead,
+      boolean isNext,
+      EndpointsSummary summary,
+      long nowNanos) {
     if (!summary.hasCandidate(request)) {
       return Optional.of(
           refused(request, PlacementDecision.Reason.NO_ENDPOINT, requestsAhead, nowNanos));
@@ -213,7 +221,7 @@
               PlacementDecision.Reason.ENDPOINTS_PAUSED,
               ReturnSchedule.atLeastMinimum(Duration.ofNanos(pauseNanos))));
     }
-    if (requestsAhead == 0) {
+    if (isNext) {
       Optional<EndpointLoad> free = choice.choose(endpoints.values(), request, nowNanos);
       if (free.isPresent()) {
         PlacementDecision placed = placed(request, free.get(), nowNanos);
--- a/snipewick/src/main/java/org/snipewick/placement/WaitingRequest.java
+++ b/snipewick/src/main/java/org/snipewick/placement/WaitingRequest.java
@@ -20,6 +20,7 @@
  * @param triedEndpoints endpoints that it was sent to before and is not sent to again
  * @param team name of its team; empty if it has none
  * @param precedenceNanos monotonic time by which it is ordered among others, in nanoseconds
+ * @param filter restricts the endpoints that it may be sent to
  */
 public record WaitingRequest(
     String id,
@@ -30,18 +31,21 @@
     long promptTokens,
     Set<EndpointId> triedEndpoints,
     String team,
-    long precedenceNanos) {
+    long precedenceNanos,
+    EndpointFilter filter) {
 
   /** Checks that no component is null and copies the set. */
   public WaitingRequest {
     requireNonNull(id, "id");
     requireNonNull(tier, "tier");
     requireNonNull(team, "team");
+    requireNonNull(filter, "filter");
     triedEndpoints = Set.copyOf(triedEndpoints);
   }
 
   /**
-   * Creates a request without a team, which is ordered by its arrival.
+   * Creates a request without a team, which is ordered by its arrival and may be sent to any
+   * endpoint.
    *
    * @param id identifier, unique among the waiting requests of a pool
    * @param tier tier, which decides its precedence
@@ -70,7 +74,8 @@
         promptTokens,
         triedEndpoints,
         "",
-        arrivedNanos);
+        arrivedNanos,
+        EndpointFilter.ANY);
   }
 
   /**
@@ -89,7 +94,28 @@
         promptTokens,
         triedEndpoints,
         name,
-        precedenceNanos);
+        precedenceNanos,
+        filter);
+  }
+
+  /**
+   * Returns this request with a restriction of its endpoints.
+   *
+   * @param restriction endpoints that it may be sent to
+   * @return request that is otherwise the same
+   */
+  public WaitingRequest withFilter(EndpointFilter restriction) {
+    return new WaitingRequest(
+        id,
+        tier,
+        arrivedNanos,
+        onTimeUntilNanos,
+        latestResponseStartNanos,
+        promptTokens,
+        triedEndpoints,
+        team,
+        precedenceNanos,
+        restriction);
   }
 
   /** Returns this request, ordered by another time. */
@@ -103,6 +129,7 @@
         promptTokens,
         triedEndpoints,
         team,
-        nanos);
+        nanos,
+        filter);
   }
 }
--- a/snipewick/src/main/java/org/snipewick/platform/NodeSettings.java
+++ b/snipewick/src/main/java/org/snipewick/platform/NodeSettings.java
@@ -9,6 +9,7 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import org.snipewick.failure.Failure;
 import org.snipewick.failure.FailureType;
@@ -16,6 +17,7 @@
 import org.snipewick.identity.InstanceId;
 import org.snipewick.identity.IpAddress;
 import org.snipewick.quota.QuotaBounds;
+import org.snipewick.rollout.RolloutBounds;
 
 /**
  * Settings that the platform passes to a process.
@@ -38,6 +40,8 @@
  *     "quota_slack"
  * @param cores cores, or share of a core, that the process may use; "limits.cpu_share" times
  *     "limits.cores", empty if one of them is missing
+ * @param rollouts bounds of rollouts, empty unless "contracts" lists them; "bounds.expose_share",
+ *     "expose_slack" and "rollback_ms"
  * @param isFirstStart whether the whole system starts for the first time; "first_start"
  */
 public record NodeSettings(
@@ -54,8 +58,10 @@
     Duration retryWindow,
     QuotaBounds quotas,
     OptionalDouble cores,
+    Optional<RolloutBounds> rollouts,
     boolean isFirstStart) {
   private static final ObjectMapper YAML = new ObjectMapper(new YAMLFactory());
+  private static final String ROLLOUT_CONTRACT = "rollout";
   private static final double MILLIS_PER_SECOND = 1000;
 
   /** Checks the components. */
@@ -71,6 +77,7 @@
     requireNonNull(retryWindow, "retryWindow");
     requireNonNull(quotas, "quotas");
     requireNonNull(cores, "cores");
+    requireNonNull(rollouts, "rollouts");
   }
 
   /**
@@ -112,6 +119,7 @@
             bounds.number("quota_over"),
             bounds.number("quota_slack")),
         cores(fields),
+        rollouts(fields, bounds),
         fields.bool("first_start"));
   }
 
@@ -124,6 +132,16 @@
     return cores > 0 ? OptionalDouble.of(cores) : OptionalDouble.empty();
   }
 
+  private static Optional<RolloutBounds> rollouts(Fields fields, Fields bounds) {
+    return fields.strings("contracts").contains(ROLLOUT_CONTRACT)
+        ? Optional.of(
+            new RolloutBounds(
+                bounds.number("expose_share"),
+                bounds.number("expose_slack"),
+                bounds.millis("rollback_ms")))
+        : Optional.empty();
+  }
+
   private static int firstPort(JsonNode range) {
     JsonNode first = range.path(0);
     if (!first.canConvertToInt() || first.intValue() < 1) {
--- a/snipewick/src/main/java/org/snipewick/platform/PeerReports.java
+++ b/snipewick/src/main/java/org/snipewick/platform/PeerReports.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.snipewick.broker.BrokeredPlacer;
 import org.snipewick.feed.SharedReads;
@@ -16,9 +17,11 @@
 import org.snipewick.fleet.PeerTotals;
 import org.snipewick.fleet.Totals;
 import org.snipewick.identity.EndpointId;
+import org.snipewick.identity.FailureDomain;
 import org.snipewick.identity.InstanceId;
 import org.snipewick.quota.TeamQuotas;
 import org.snipewick.relay.RelayServer;
+import org.snipewick.rollout.Rollouts;
 
 /**
  * Reports held slots and requests in flight to the peers, and applies the sums over the peers and
@@ -30,18 +33,21 @@
   private final RelayServer relay;
   private final BrokeredPlacer placer;
   private final SharedReads sharedReads;
+  private final Optional<Rollouts> rollouts;
 
   PeerReports(
       FleetMember self,
       TeamQuotas quotas,
       RelayServer relay,
       BrokeredPlacer placer,
-      SharedReads sharedReads) {
+      SharedReads sharedReads,
+      Optional<Rollouts> rollouts) {
     this.self = requireNonNull(self, "self");
     this.quotas = requireNonNull(quotas, "quotas");
     this.relay = requireNonNull(relay, "relay");
     this.placer = requireNonNull(placer, "placer");
     this.sharedReads = requireNonNull(sharedReads, "sharedReads");
+    this.rollouts = requireNonNull(rollouts, "rollouts");
   }
 
   /** Returns the report of this instance. */
@@ -61,6 +67,9 @@
     relay.setPeers(instances);
     placer.setMembers(all);
     sharedReads.setPeers(self, members);
+    Map<InstanceId, FailureDomain> domains = new HashMap<>();
+    all.forEach(member -> domains.put(member.instance(), member.domain()));
+    rollouts.ifPresent(present -> present.setMembers(domains));
   }
 
   @Override
--- a/snipewick/src/main/java/org/snipewick/relay/RelayAttempt.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayAttempt.java
@@ -8,6 +8,7 @@
 import org.snipewick.placement.PlacementGrant;
 import org.snipewick.placement.ReportedLoad;
 import org.snipewick.registry.RegisteredEndpoint;
+import org.snipewick.rollout.RequestVersion;
 import org.snipewick.transport.Exchange;
 
 /** One attempt to run a request at an endpoint; uses one of the endpoint's slots until it ends. */
@@ -17,6 +18,7 @@
   private final long placedNanos;
   private final Exchange exchange = Exchange.of();
   private Progress progress = Progress.SENT;
+  private RequestVersion version = RequestVersion.ANY;
   private boolean hasEnded;
 
   RelayAttempt(RegisteredEndpoint endpoint, PlacementGrant grant, long placedNanos) {
@@ -35,6 +37,22 @@
     BODY
   }
 
+  /** Sets the version for which the attempt counts, and records that it is sent. */
+  void countFor(RequestVersion chosen, long nowNanos) {
+    version = requireNonNull(chosen, "chosen");
+    version.started(endpoint, nowNanos);
+  }
+
+  /** Records that the first event of a stream has arrived. */
+  void firstEventReceived(long nowNanos) {
+    version.responded(nowNanos);
+  }
+
+  /** Counts the response as a failure of the endpoint's version, even if the attempt goes on. */
+  void countFailure() {
+    version.failed();
+  }
+
   RegisteredEndpoint endpoint() {
     return endpoint;
   }
@@ -76,6 +94,11 @@
   void end(AttemptResult result, long nowNanos) {
     if (!hasEnded) {
       hasEnded = true;
+      if (result == AttemptResult.FAILED) {
+        version.failed();
+      } else if (result == AttemptResult.ANSWERED) {
+        version.responded(nowNanos);
+      }
       grant.end(result, nowNanos);
     }
   }
@@ -95,7 +118,11 @@
    * Records the mean time per chunk of a stream, if known, as a measure of the endpoint's speed.
    */
   void recordChunkTime(Optional<Double> nanosPerChunk, long nowNanos) {
-    nanosPerChunk.ifPresent(nanos -> grant.recordServiceTime(nanos, nowNanos));
+    nanosPerChunk.ifPresent(
+        nanos -> {
+          version.spaced(nanos);
+          grant.recordServiceTime(nanos, nowNanos);
+        });
   }
 
   /** Closes the connection, which makes the endpoint cancel the request, and frees the slot. */
--- a/snipewick/src/main/java/org/snipewick/relay/RelayDispatcher.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayDispatcher.java
@@ -24,6 +24,7 @@
 import org.snipewick.placement.PlacementListener;
 import org.snipewick.placement.WaitingRequest;
 import org.snipewick.registry.RegisteredEndpoint;
+import org.snipewick.rollout.RequestVersion;
 import org.snipewick.route.CallKind;
 
 /**
@@ -33,6 +34,10 @@
 final class RelayDispatcher implements StreamForwarder.CallHandler {
   private static final int OK = 200;
   private static final Duration RETRY_AFTER_WITHOUT_POOL = Duration.ofSeconds(1);
+
+  /** Time after which a version is chosen again for a request that no version may receive. */
+  private static final Duration HELD_RETRY_PERIOD = Duration.ofMillis(20);
+
   private static final Duration RETRY_AFTER_REJECTION = Duration.ofMillis(300);
 
   private final RelayDependencies dependencies;
@@ -114,6 +119,7 @@
         dependencies.timer().after(timeLeft, () -> runGuarded(call, () -> deadlinePassed(call))));
     quarantine.begin(call);
     pools.retryBudget(call.pool()).countRequest(now());
+    dependencies.trafficSplit().countRequest(call.pool());
     enqueue(call);
   }
 
@@ -196,6 +202,14 @@
   }
 
   private void enqueue(RelayCall call) {
+    call.version().end(now());
+    RequestVersion version =
+        dependencies.trafficSplit().choose(call.pool(), call.route().name(), call.attempts() > 0);
+    call.setVersion(version);
+    if (version.isHeld()) {
+      dependencies.timer().after(HELD_RETRY_PERIOD, () -> enqueueIfOpen(call));
+      return;
+    }
     String waitingId = Long.toString(nextWaitingId++);
     call.setWaitingId(waitingId);
     WaitingRequest request =
@@ -207,10 +221,17 @@
                 call.latestResponseStartNanos(),
                 call.request().promptTokens(),
                 call.triedEndpoints())
-            .withTeam(call.team().map(team -> team.name().value()).orElse(""));
+            .withTeam(call.team().map(team -> team.name().value()).orElse(""))
+            .withFilter(version.filter());
     pools.placer().place(call.pool(), request, new DecisionHandler(call, waitingId));
   }
 
+  private void enqueueIfOpen(RelayCall call) {
+    if (!call.isFinished()) {
+      runGuarded(call, () -> enqueue(call));
+    }
+  }
+
   /** Carries out the decision about a call, unless the call has ended or was queued again. */
   private final class DecisionHandler implements PlacementListener {
     private final RelayCall call;
@@ -276,6 +297,7 @@
       return;
     }
     call.beginAttempt(attempt);
+    attempt.countFor(call.version(), now());
     telemetry.dispatched(call, placed, now());
     dependencies
         .transport()
@@ -404,6 +426,7 @@
       if (!(thrown instanceof FailureException)) {
         // Not for a response that this instance has broken off, which is no crash.
         quarantine.recordBrokenResponse(call, attempt);
+        attempt.countFailure();
       }
     }
   }
@@ -505,7 +528,11 @@
   }
 
   private void finish(RelayCall call) {
-    Steps.runAll(() -> openCalls.remove(call), () -> quarantine.end(call), call::finish);
+    Steps.runAll(
+        () -> openCalls.remove(call),
+        () -> quarantine.end(call),
+        () -> call.version().end(now()),
+        call::finish);
   }
 
   private long now() {
--- a/snipewick/src/main/java/org/snipewick/store/MirrorListener.java
+++ b/snipewick/src/main/java/org/snipewick/store/MirrorListener.java
@@ -38,4 +38,40 @@
 
   /** Called when the table can be read again. */
   default void onAvailableAgain() {}
+
+  /**
+   * Returns a listener that passes everything on to others, in their order.
+   *
+   * @param listeners listeners; each ignores the rows that are not for it
+   * @return listener to one mirror
+   */
+  static MirrorListener ofAll(List<MirrorListener> listeners) {
+    List<MirrorListener> all = List.copyOf(listeners);
+    return new MirrorListener() {
+      @Override
+      public void onRows(List<TableRow> rows, Moment provenAt) {
+        all.forEach(listener -> listener.onRows(rows, provenAt));
+      }
+
+      @Override
+      public void onChanges(RowChanges.Delta changes, Moment provenAt) {
+        all.forEach(listener -> listener.onChanges(changes, provenAt));
+      }
+
+      @Override
+      public void onUnavailable() {
+        all.forEach(MirrorListener::onUnavailable);
+      }
+
+      @Override
+      public void onNewEra() {
+        all.forEach(MirrorListener::onNewEra);
+      }
+
+      @Override
+      public void onAvailableAgain() {
+        all.forEach(MirrorListener::onAvailableAgain);
+      }
+    };
+  }
 }
--- a/snipewick/src/test/java/org/snipewick/broker/BrokerFleet.java
+++ b/snipewick/src/test/java/org/snipewick/broker/BrokerFleet.java
@@ -26,6 +26,7 @@
 import org.snipewick.peer.PeerMessage;
 import org.snipewick.peer.PeerNetwork;
 import org.snipewick.placement.AttemptResult;
+import org.snipewick.placement.EndpointFilter;
 import org.snipewick.placement.LocalPlacer;
 import org.snipewick.placement.PlacementDecision;
 import org.snipewick.placement.PlacementGrant;
@@ -72,6 +73,7 @@
   private final List<FleetMember> members = new ArrayList<>();
   List<RegisteredEndpoint> listed = List.of();
   long sentMessages;
+  EndpointFilter filter = EndpointFilter.ANY;
   private long nextRequest;
 
   BrokerFleet(Mode mode, int instances, long seed) {
@@ -384,13 +386,14 @@
                   .place(
                       POOL,
                       new WaitingRequest(
-                          Long.toString(request.id),
-                          request.tier,
-                          request.arrivedNanos,
-                          request.arrivedNanos + Request.TARGET_NANOS,
-                          request.arrivedNanos + 2 * Request.TARGET_NANOS,
-                          0,
-                          Set.of()),
+                              Long.toString(request.id),
+                              request.tier,
+                              request.arrivedNanos,
+                              request.arrivedNanos + Request.TARGET_NANOS,
+                              request.arrivedNanos + 2 * Request.TARGET_NANOS,
+                              0,
+                              Set.of())
+                          .withFilter(filter),
                       request));
     }
 
--- a/snipewick/src/test/java/org/snipewick/relay/RelayFixture.java
+++ b/snipewick/src/test/java/org/snipewick/relay/RelayFixture.java
@@ -32,6 +32,7 @@
 import org.snipewick.quota.TeamQuotas;
 import org.snipewick.registry.EndpointRegistry;
 import org.snipewick.registry.RegisteredEndpoint;
+import org.snipewick.rollout.TrafficSplit;
 import org.snipewick.route.PlanController;
 import org.snipewick.route.RoutingPlan;
 import org.snipewick.route.TeamQuota;
@@ -88,6 +89,10 @@
   }
 
   RelayFixture(RoutingPlan plan, EventLog log) {
+    this(plan, log, TrafficSplit.NONE);
+  }
+
+  RelayFixture(RoutingPlan plan, EventLog log, TrafficSplit split) {
     try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
       port = free.getLocalPort();
     } catch (IOException failure) {
@@ -100,14 +105,14 @@
         () -> {
           server =
               RelayServer.listen(
-                  eventloop, new InetSocketAddress("127.0.0.1", port), dependencies(log));
+                  eventloop, new InetSocketAddress("127.0.0.1", port), dependencies(log, split));
           registry = EndpointRegistry.of(timer, EventLog.none(), server::updateEndpoints);
           server.onDepartureAnnounced(registry::onDepartureAnnounced);
           plans.accept(plan, Moment.now(timer));
         });
   }
 
-  private RelayDependencies dependencies(EventLog log) {
+  private RelayDependencies dependencies(EventLog log, TrafficSplit split) {
     return new RelayDependencies(
         DOMAIN,
         plans,
@@ -119,6 +124,7 @@
             EventLog.none(),
             new MetricRegistry()),
         quarantine(),
+        split,
         HttpTransport.of(eventloop, Duration.ofMillis(500), 1_000_000),
         memory,
         NAMES,
