--- a/snipewick/src/main/java/org/snipewick/platform/FrontProcess.java
+++ b/snipewick/src/main/java/org/snipewick/platform/FrontProcess.java
@@ -7,7 +7,10 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
@@ -41,6 +44,9 @@
 import org.snipewick.relay.HealthServer;
 import org.snipewick.relay.RelayDependencies;
 import org.snipewick.relay.RelayServer;
+import org.snipewick.rollout.RolloutStore;
+import org.snipewick.rollout.Rollouts;
+import org.snipewick.rollout.TrafficSplit;
 import org.snipewick.route.PlanController;
 import org.snipewick.route.TeamQuota;
 import org.snipewick.store.EraTracker;
@@ -102,6 +108,14 @@
       new FeedSchedule(
           new PollSchedule(Duration.ofSeconds(3), Duration.ofMillis(400)), Duration.ofSeconds(3));
 
+  /**
+   * The proof that a phase of a rollout is current must be renewed well within the time in which a
+   * rollback must reach all instances; that of a follower is up to 1.5 s old.
+   */
+  private static final FeedSchedule ROLLOUT_POLLS =
+      new FeedSchedule(
+          new PollSchedule(Duration.ofSeconds(1), Duration.ZERO), Duration.ofMillis(500));
+
   /** Late news of a peer delay nothing but the exchange of reports with it. */
   private static final FeedSchedule INSTANCE_POLLS =
       new FeedSchedule(
@@ -139,6 +153,7 @@
   private final TeamQuotas quotas;
   private final MemoryAccount memory;
   private final Quarantine quarantine;
+  private final Optional<Rollouts> rollouts;
   private final SystemTimerService peerTimer = SystemTimerService.of("peers-timer");
   private final RelayServer relay;
   private final EndpointRegistry registry;
@@ -177,9 +192,30 @@
     metrics.gauge("held_bytes", () -> memory::heldBytes);
     quarantine = Quarantine.of(settings.instance(), store, timer, events, new SplittableRandom());
     metrics.gauge("quarantined_parts", () -> quarantine::size);
+    rollouts =
+        settings
+            .rollouts()
+            .map(
+                bounds ->
+                    Rollouts.start(
+                        settings.instance(),
+                        settings.domain(),
+                        bounds,
+                        new RolloutStore(store, store, store),
+                        timer,
+                        events,
+                        metrics,
+                        new SplittableRandom()));
     relay =
         RelayServer.listen(eventloop, settings.callers(), relayDependencies(transport, hedgeShare));
-    registry = EndpointRegistry.of(timer, events, relay::updateEndpoints);
+    registry =
+        EndpointRegistry.of(
+            timer,
+            events,
+            endpoints -> {
+              rollouts.ifPresent(present -> present.setEndpoints(endpoints));
+              relay.updateEndpoints(endpoints);
+            });
     relay.onDepartureAnnounced(registry::onDepartureAnnounced);
     PrometheusText prometheus = PrometheusText.of(metrics);
     HealthServer.listen(eventloop, settings.health(), this::isReady, prometheus::write);
@@ -219,6 +255,7 @@
         plans,
         quotas,
         quarantine,
+        rollouts.<TrafficSplit>map(present -> present).orElse(TrafficSplit.NONE),
         transport,
         memory,
         PlatformHeaders.NAMES,
@@ -235,7 +272,11 @@
 
   private void startMirrors(SingleAttemptStore store) {
     ConfigurationListener configuration = new ConfigurationListener(plans, events);
-    startMirror(CONFIGURATION_TABLE, CONFIGURATION_POLLS, configuration);
+    List<MirrorListener> listeners = new ArrayList<>(List.of(configuration));
+    rollouts.ifPresent(present -> listeners.add(new RolloutOrderListener(present, events)));
+    startMirror(CONFIGURATION_TABLE, CONFIGURATION_POLLS, MirrorListener.ofAll(listeners));
+    rollouts.ifPresent(
+        present -> startMirror(Rollouts.RECORD_TABLE, ROLLOUT_POLLS, present.recordListener()));
     startMirror(
         PlatformStoreAdapter.ENDPOINT_TABLE,
         ENDPOINT_POLLS,
@@ -296,7 +337,7 @@
     relay.setPlacer(placer);
     stopBroker = placer::stop;
     sharedReads.join(network, eventloop);
-    PeerReports reports = new PeerReports(self, quotas, relay, placer, sharedReads);
+    PeerReports reports = new PeerReports(self, quotas, relay, placer, sharedReads, rollouts);
     Fleet fleet = Fleet.start(self, network, eventloop, timer, events, reports::report, reports);
     startMirror(FleetMember.TABLE, INSTANCE_POLLS, fleet);
     configuration.setProofExchange(
@@ -309,6 +350,7 @@
         && plans.hasFreshProof()
         && relay.hasAcceptingEndpoint()
         && quarantine.isLoaded()
+        && rollouts.map(Rollouts::isLoaded).orElse(true)
         && quotas.isReady();
   }
 
--- a/snipewick/src/main/java/org/snipewick/relay/Hedges.java
+++ b/snipewick/src/main/java/org/snipewick/relay/Hedges.java
@@ -83,7 +83,7 @@
             first.exchange().mayHaveBeenSent(),
             hasResponse(call, first),
             pool.waiting());
-    if (!HedgePolicy.allows(situation)) {
+    if (!HedgePolicy.allows(situation) || !pool.isUnrestrictedBy(call.version().filter())) {
       return;
     }
     Optional<PlacementDecision.Placed> placed = pool.tryPlace(requestOf(call), now());
--- a/snipewick/src/main/java/org/snipewick/relay/RelayCall.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayCall.java
@@ -14,6 +14,7 @@
 import org.snipewick.identity.EndpointId;
 import org.snipewick.identity.PoolName;
 import org.snipewick.identity.Tier;
+import org.snipewick.rollout.RequestVersion;
 import org.snipewick.route.CallKind;
 import org.snipewick.route.Route;
 import org.snipewick.route.RoutingPlan;
@@ -41,6 +42,7 @@
   private TimerService.Subscription deadlineTimer = () -> {};
   private TimerService.Subscription hedgeTimer = () -> {};
   private Runnable onFinished = () -> {};
+  private RequestVersion version = RequestVersion.ANY;
   private boolean isFinished;
 
   RelayCall(RelayRequest request, RequestBodies.KeptBody body) {
@@ -212,6 +214,15 @@
     return mayHaveRun() ? Failure.unknown(FailureType.OUTCOME_UNKNOWN, failure.detail()) : failure;
   }
 
+  /** Sets the version of the endpoints for the next attempt. */
+  void setVersion(RequestVersion chosen) {
+    version = requireNonNull(chosen, "chosen");
+  }
+
+  RequestVersion version() {
+    return version;
+  }
+
   void setWaitingId(String id) {
     waitingId = requireNonNull(id, "id");
   }
--- a/snipewick/src/main/java/org/snipewick/relay/RelayDispatcher.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayDispatcher.java
@@ -27,6 +27,7 @@
 import org.snipewick.placement.WaitingRequest;
 import org.snipewick.quota.EndpointPermitStock;
 import org.snipewick.registry.RegisteredEndpoint;
+import org.snipewick.rollout.RequestVersion;
 import org.snipewick.route.CallKind;
 
 /**
@@ -36,6 +37,10 @@
 final class RelayDispatcher implements StreamForwarder.CallHandler, Hedges.Sender {
   private static final int OK = 200;
   private static final Duration RETRY_AFTER_WITHOUT_POOL = Duration.ofSeconds(1);
+
+  /** Time after which a version is chosen again for a request that no version may receive. */
+  private static final Duration HELD_RETRY_PERIOD = Duration.ofMillis(20);
+
   private static final Duration RETRY_AFTER_REJECTION = Duration.ofMillis(300);
 
   private final RelayDependencies dependencies;
@@ -130,6 +135,7 @@
     quarantine.begin(call);
     pools.retryBudget(call.pool()).countRequest(now());
     hedges.begin(call);
+    dependencies.trafficSplit().countRequest(call.pool());
     enqueue(call);
   }
 
@@ -212,6 +218,14 @@
   }
 
   private void enqueue(RelayCall call) {
+    call.version().end(now());
+    RequestVersion version =
+        dependencies.trafficSplit().choose(call.pool(), call.route().name(), call.attempts() > 0);
+    call.setVersion(version);
+    if (version.isHeld()) {
+      dependencies.timer().after(HELD_RETRY_PERIOD, () -> enqueueIfOpen(call));
+      return;
+    }
     String waitingId = Long.toString(nextWaitingId++);
     call.setWaitingId(waitingId);
     WaitingRequest request =
@@ -223,10 +237,17 @@
                 call.latestResponseStartNanos(),
                 call.request().promptTokens(),
                 call.triedEndpoints())
-            .withTeam(call.team().map(team -> team.name().value()).orElse(""));
+            .withTeam(call.team().map(team -> team.name().value()).orElse(""))
+            .withFilter(version.filter());
     pools.placer().place(call.pool(), request, new DecisionHandler(call, waitingId));
   }
 
+  private void enqueueIfOpen(RelayCall call) {
+    if (!call.isFinished()) {
+      runGuarded(call, () -> enqueue(call));
+    }
+  }
+
   /** Carries out the decision about a call, unless the call has ended or was queued again. */
   private final class DecisionHandler implements PlacementListener {
     private final RelayCall call;
@@ -296,6 +317,7 @@
       return;
     }
     call.beginAttempt(attempt);
+    attempt.countFor(call.version(), now());
     telemetry.dispatched(call, placed, now());
     transmit(call, attempt);
     hedges.scheduleFor(call, attempt);
@@ -469,6 +491,7 @@
       if (!(thrown instanceof FailureException)) {
         // Not for a response that this instance has broken off, which is no crash.
         quarantine.recordBrokenResponse(call, attempt);
+        attempt.countFailure();
       }
     }
   }
@@ -585,6 +608,7 @@
         () -> openCalls.remove(call),
         () -> quarantine.end(call),
         () -> call.takeHedge().ifPresent(running -> running.cancel(now())),
+        () -> call.version().end(now()),
         call::finish);
   }
 
--- a/snipewick/src/main/java/org/snipewick/relay/StreamForwarder.java
+++ b/snipewick/src/main/java/org/snipewick/relay/StreamForwarder.java
@@ -99,6 +99,7 @@
       attempt.advance(RelayAttempt.Progress.BODY);
       attempt.endPrefill();
       callHandler.responded(call, attempt);
+      attempt.firstEventReceived(timer.nanoTime());
       ChannelSupplier<ByteBuf> all =
           first == null ? body : ChannelSuppliers.concat(ChannelSupplier.of(first), body);
       begin(call, head, all);
--- a/snipewick/src/test/java/org/snipewick/broker/BrokeredPlacerTest.java
+++ b/snipewick/src/test/java/org/snipewick/broker/BrokeredPlacerTest.java
@@ -141,6 +141,22 @@
     assertDecidedOnce(fleet);
   }
 
+  /** Guards against brokers that grant an endpoint which the filter of a request excludes. */
+  @Test
+  void shouldPlaceByOwnQueueWhenRequestIsRestrictedToSomeEndpoints() {
+    BrokerFleet fleet = new BrokerFleet(BrokerFleet.Mode.BROKERS, 59, 1);
+    fleet.filter = endpoint -> endpoint.id().value().endsWith("3");
+    fleet.addEndpoints(66, SLOTS, SPEEDS);
+    fleet.load(LOAD_TIME, 0.05 * 66 * SLOTS * requestsPerSlot(), WORK_MILLIS, 1);
+    fleet.timer.advance(LOAD_TIME.plusSeconds(12));
+    assertThat(fleet.sentMessages).isZero();
+    assertDecidedOnce(fleet);
+    assertThat(fleet.requests)
+        .filteredOn(request -> !request.isRefused)
+        .isNotEmpty()
+        .allMatch(request -> request.endpoint.value().endsWith("3"));
+  }
+
   /** Messages must arrive as they were sent, in the short form without names of fields. */
   @Test
   void shouldKeepContentWhenMessagesAreEncoded() {
--- a/snipewick/src/test/java/org/snipewick/relay/RelayFixture.java
+++ b/snipewick/src/test/java/org/snipewick/relay/RelayFixture.java
@@ -32,6 +32,7 @@
 import org.snipewick.quota.TeamQuotas;
 import org.snipewick.registry.EndpointRegistry;
 import org.snipewick.registry.RegisteredEndpoint;
+import org.snipewick.rollout.TrafficSplit;
 import org.snipewick.route.PlanController;
 import org.snipewick.route.RoutingPlan;
 import org.snipewick.route.TeamQuota;
@@ -89,11 +90,20 @@
   }
 
   RelayFixture(RoutingPlan plan, EventLog log) {
-    this(plan, log, 0);
+    this(plan, log, TrafficSplit.NONE, 0);
   }
 
   /** Starts a relay that hedges a share of the requests. */
   RelayFixture(RoutingPlan plan, EventLog log, double hedgeShare) {
+    this(plan, log, TrafficSplit.NONE, hedgeShare);
+  }
+
+  /** Starts a relay that sends requests to the versions that a split chooses. */
+  RelayFixture(RoutingPlan plan, EventLog log, TrafficSplit split) {
+    this(plan, log, split, 0);
+  }
+
+  private RelayFixture(RoutingPlan plan, EventLog log, TrafficSplit split, double hedgeShare) {
     this.hedgeShare = hedgeShare;
     try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
       port = free.getLocalPort();
@@ -107,14 +117,14 @@
         () -> {
           server =
               RelayServer.listen(
-                  eventloop, new InetSocketAddress("127.0.0.1", port), dependencies(log));
+                  eventloop, new InetSocketAddress("127.0.0.1", port), dependencies(log, split));
           registry = EndpointRegistry.of(timer, EventLog.none(), server::updateEndpoints);
           server.onDepartureAnnounced(registry::onDepartureAnnounced);
           plans.accept(plan, Moment.now(timer));
         });
   }
 
-  private RelayDependencies dependencies(EventLog log) {
+  private RelayDependencies dependencies(EventLog log, TrafficSplit split) {
     return new RelayDependencies(
         DOMAIN,
         plans,
@@ -126,6 +136,7 @@
             EventLog.none(),
             new MetricRegistry()),
         quarantine(),
+        split,
         HttpTransport.of(eventloop, Duration.ofMillis(500), 1_000_000),
         memory,
         NAMES,
