--- a/snipewick/src/test/java/org/snipewick/relay/HedgesTest.java
+++ b/snipewick/src/test/java/org/snipewick/relay/HedgesTest.java
@@ -119,10 +119,20 @@
         .contains(EventType.HEDGE_SENT, EventType.HEDGE_WON)
         .doesNotContain(EventType.REQUEST_REPEATED, EventType.RESPONSE_BROKEN);
     awaitNothingInFlight();
+    awaitEnding(endpoints);
     assertThat(endpoints.stream().flatMap(each -> each.endings().stream()))
         .containsOnlyOnce("closed");
   }
 
+  /** Waits until an endpoint has noticed that its connection was closed, on its own thread. */
+  private static void awaitEnding(List<ScriptedEndpoint> endpoints) {
+    long endNanos = System.nanoTime() + Duration.ofSeconds(4).toNanos();
+    while (endpoints.stream().allMatch(each -> each.endings().isEmpty())
+        && System.nanoTime() < endNanos) {
+      LockSupport.parkNanos(5_000_000);
+    }
+  }
+
   @ParameterizedTest
   @ValueSource(strings = {"", CHUNKED})
   void shouldUseStreamOfHedgeWhenFirstStreamHasNoEvent(String head) throws IOException {
