Send no hedge before the first attempt has been sent and 10 ms have passed

Cause: the delay of a hedge was learned from responses alone. With responses of less than a millisecond a hedge was due while the connection of the first attempt was still being opened; it was then given up for good, or overtook the first attempt. Seen in HedgesTest, once each. Change: a hedge that is due too early is scheduled again, and the delay is at least 10 ms. Hedging stays off by default.

--- a/snipewick/src/main/java/org/snipewick/placement/HedgePolicy.java
+++ b/snipewick/src/main/java/org/snipewick/placement/HedgePolicy.java
@@ -15,6 +15,9 @@
  * thread-safe.
  */
 public final class HedgePolicy {
+  /** A shorter delay would send hedges while the first attempt is still on its way. */
+  private static final long MIN_DELAY_NANOS = Duration.ofMillis(10).toNanos();
+
   /** Number of recent responses of a route from which its delay is learned. */
   private static final int RECENT_RESPONSES = 128;
 
@@ -102,7 +105,10 @@
    */
   public OptionalLong delayNanos(String route) {
     ResponseTimes times = responseTimes.get(route);
-    return times == null ? OptionalLong.empty() : times.percentile();
+    if (times == null || times.percentile().isEmpty()) {
+      return OptionalLong.empty();
+    }
+    return OptionalLong.of(Math.max(MIN_DELAY_NANOS, times.percentile().getAsLong()));
   }
 
   /**
--- a/snipewick/src/main/java/org/snipewick/relay/Hedges.java
+++ b/snipewick/src/main/java/org/snipewick/relay/Hedges.java
@@ -60,22 +60,27 @@
     if (!policy.isEnabled() || call.attempts() > 1 || !call.route().isIdempotent()) {
       return;
     }
-    policy
-        .delayNanos(call.route().name())
-        .ifPresent(
-            delay ->
-                call.setHedgeTimer(
-                    dependencies
-                        .timer()
-                        .after(
-                            Duration.ofNanos(delay),
-                            () -> sender.runGuarded(call, () -> hedge(call, first)))));
+    policy.delayNanos(call.route().name()).ifPresent(delay -> schedule(call, first, delay));
+  }
+
+  private void schedule(RelayCall call, RelayAttempt first, long delayNanos) {
+    call.setHedgeTimer(
+        dependencies
+            .timer()
+            .after(
+                Duration.ofNanos(delayNanos),
+                () -> sender.runGuarded(call, () -> hedge(call, first))));
   }
 
   private void hedge(RelayCall call, RelayAttempt first) {
     if (call.isFinished() || call.attempt().filter(current -> current == first).isEmpty()) {
       return;
     }
+    if (!first.exchange().mayHaveBeenSent()) {
+      // The connection is still being opened; the endpoint has not had its time to respond yet.
+      scheduleFor(call, first);
+      return;
+    }
     PoolPlacement pool = pools.local().pool(call.pool());
     var situation =
         new HedgePolicy.Situation(
