Take failures of the store at their word whatever era they name

Cause: every response of an era older than the newest was dropped as lost, also a 503 that names no era, as an outage in front of the store sends. Operators got 502 for a change that was certainly not made, instead of 503. Change: only responses with content are compared by era, as only these hold versions.

--- a/snipewick/src/main/java/org/snipewick/platform/StoreClient.java
+++ b/snipewick/src/main/java/org/snipewick/platform/StoreClient.java
@@ -251,11 +251,14 @@
 
   private <T> StoreResult<T> toStoreResult(
       Response response, Decoder<T> decoder, int additionalStatus) {
-    if (!eras.observe(response.era())) {
-      return StoreResult.lost("response of era " + response.era() + " of the store came too late");
-    }
     int status = response.status();
+    boolean isOfCurrentEra = eras.observe(response.era());
     if (status == additionalStatus || (status >= OK && status < FIRST_REDIRECTION)) {
+      // A failure holds no version; it means the same in each era, and may come without one.
+      if (!isOfCurrentEra) {
+        return StoreResult.lost(
+            "response of era " + response.era() + " of the store came too late");
+      }
       try {
         return new StoreResult.Succeeded<>(decoder.decode(response));
       } catch (IOException malformed) {
