Tell what changed the limit of an endpoint, and count permits

Cause of the gap: event 410 was not written when an entry ended a limit, and did not tell a response from a report. Permits were not counted. Change: event 410 has a cause and is written in that case too; metrics endpoint_permits_granted, _refused, _expired. No decision changes.

--- a/snipewick/src/main/java/org/snipewick/relay/EndpointLimits.java
+++ b/snipewick/src/main/java/org/snipewick/quota/EndpointLimits.java
@@ -1,10 +1,12 @@
-package org.snipewick.relay;
+package org.snipewick.quota;
 
 import java.time.Duration;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.OptionalDouble;
+import java.util.Set;
 import org.snipewick.fleet.EndpointLimit;
 import org.snipewick.identity.EndpointId;
 import org.snipewick.registry.RegisteredEndpoint;
@@ -14,7 +16,7 @@
  * this instance or to others. A limit ends with a response that names none and with a restart of
  * the endpoint. Not thread-safe.
  */
-final class EndpointLimits {
+public final class EndpointLimits {
   /** Age up to which a statement is reported to others; endpoints repeat it with each response. */
   private static final Duration MAX_REPORTED_AGE = Duration.ofSeconds(5);
 
@@ -24,6 +26,17 @@
   /** What a response said; empty if it ended a limit. */
   private record Statement(OptionalDouble limit, long atNanos, boolean isOwn) {}
 
+  private EndpointLimits() {}
+
+  /**
+   * Creates limits of endpoints that have named none.
+   *
+   * @return limits without endpoints
+   */
+  public static EndpointLimits empty() {
+    return new EndpointLimits();
+  }
+
   /**
    * Stores what a response to this instance names.
    *
@@ -32,7 +45,7 @@
    * @param nowNanos current monotonic time, in nanoseconds
    * @return whether the limit has changed
    */
-  boolean update(EndpointId endpoint, OptionalDouble named, long nowNanos) {
+  public boolean update(EndpointId endpoint, OptionalDouble named, long nowNanos) {
     OptionalDouble before = limit(endpoint);
     if (named.isPresent() || statements.containsKey(endpoint)) {
       statements.put(endpoint, new Statement(named, nowNanos, true));
@@ -43,9 +56,12 @@
   /**
    * Stores what a response to another instance named, unless a later one is known.
    *
+   * @param endpoint endpoint that responded
+   * @param reported what it said
+   * @param nowNanos current monotonic time, in nanoseconds
    * @return whether the limit has changed
    */
-  boolean adopt(EndpointId endpoint, EndpointLimit reported, long nowNanos) {
+  public boolean adopt(EndpointId endpoint, EndpointLimit reported, long nowNanos) {
     long atNanos = nowNanos - Duration.ofMillis(reported.ageMillis()).toNanos();
     Statement known = statements.get(endpoint);
     if (!startedEpochMillis.containsKey(endpoint)
@@ -61,14 +77,24 @@
     return !limit.equals(before);
   }
 
-  /** Returns the limit of an endpoint; empty if it has none. */
-  OptionalDouble limit(EndpointId endpoint) {
+  /**
+   * Returns the limit of an endpoint.
+   *
+   * @param endpoint endpoint
+   * @return requests per second; empty if it has no limit
+   */
+  public OptionalDouble limit(EndpointId endpoint) {
     Statement statement = statements.get(endpoint);
     return statement == null ? OptionalDouble.empty() : statement.limit();
   }
 
-  /** Returns what responses to this instance have said lately. */
-  Map<EndpointId, EndpointLimit> reported(long nowNanos) {
+  /**
+   * Returns what responses to this instance have said lately.
+   *
+   * @param nowNanos current monotonic time, in nanoseconds
+   * @return statements by endpoint
+   */
+  public Map<EndpointId, EndpointLimit> reported(long nowNanos) {
     statements
         .values()
         .removeIf(
@@ -88,24 +114,40 @@
     return nowNanos - atNanos <= MAX_REPORTED_AGE.toNanos();
   }
 
-  /** Ends the limits of endpoints that are not listed or have started again. */
-  void retain(Collection<RegisteredEndpoint> endpoints) {
+  /**
+   * Ends the limits of endpoints that are not listed or have started again.
+   *
+   * @param endpoints all endpoints that are listed
+   * @return endpoints whose limits ended
+   */
+  public Set<EndpointId> retain(Collection<RegisteredEndpoint> endpoints) {
     Map<EndpointId, Long> started = new HashMap<>();
     endpoints.forEach(each -> started.put(each.id(), each.startedEpochMillis()));
+    Set<EndpointId> ended = new HashSet<>();
     statements
-        .keySet()
+        .entrySet()
         .removeIf(
-            id -> {
+            entry -> {
+              EndpointId id = entry.getKey();
               Long before = startedEpochMillis.get(id);
-              return !started.containsKey(id)
-                  || (before != null && !before.equals(started.get(id)));
+              boolean isForgotten =
+                  !started.containsKey(id) || (before != null && !before.equals(started.get(id)));
+              if (isForgotten && entry.getValue().limit().isPresent()) {
+                ended.add(id);
+              }
+              return isForgotten;
             });
     startedEpochMillis.clear();
     startedEpochMillis.putAll(started);
+    return ended;
   }
 
-  /** Returns the number of endpoints that have named a limit. */
-  int size() {
+  /**
+   * Returns the number of endpoints that have named a limit.
+   *
+   * @return number of limits
+   */
+  public int size() {
     return (int) statements.values().stream().filter(each -> each.limit().isPresent()).count();
   }
 }
--- a/snipewick/src/main/java/org/snipewick/quota/EndpointPermitStock.java
+++ b/snipewick/src/main/java/org/snipewick/quota/EndpointPermitStock.java
@@ -70,6 +70,7 @@
 
   /** Permits for one endpoint, and the request for the next one. */
   private static final class Stock {
+    private final Runnable onExpired;
     private final Deque<Long> expiryNanos = new ArrayDeque<>();
     private boolean isRequested;
 
@@ -80,9 +81,14 @@
     private long nextRequestNanos;
     private long nextPermitNanos;
 
+    private Stock(Runnable onExpired) {
+      this.onExpired = onExpired;
+    }
+
     boolean hasPermit(long nowNanos) {
       while (!expiryNanos.isEmpty() && expiryNanos.peek() - nowNanos <= 0) {
         expiryNanos.remove();
+        onExpired.run();
       }
       return !expiryNanos.isEmpty();
     }
@@ -99,7 +105,8 @@
     if (limit.isEmpty()) {
       return true;
     }
-    Stock stock = stocks.computeIfAbsent(endpoint, id -> new Stock());
+    Stock stock =
+        stocks.computeIfAbsent(endpoint, id -> new Stock(quotas.metrics()::countExpiredPermit));
     boolean mayRequest =
         !stock.isRequested && (!stock.isRefused || stock.nextRequestNanos - nowNanos <= 0);
     if (!stock.hasPermit(nowNanos) && mayRequest) {
@@ -112,6 +119,7 @@
   }
 
   private void onResult(Stock stock, PermitResult result) {
+    quotas.metrics().countPermit(result.isGranted());
     stock.isRequested = false;
     stock.isRefused = !result.isGranted();
     long now = timer.nanoTime();
--- a/snipewick/src/main/java/org/snipewick/quota/QuotaMetrics.java
+++ b/snipewick/src/main/java/org/snipewick/quota/QuotaMetrics.java
@@ -15,6 +15,9 @@
   private final Counter asks;
   private final Counter unanswered;
   private final Counter refused;
+  private final Counter permitsGranted;
+  private final Counter permitsRefused;
+  private final Counter permitsExpired;
 
   QuotaMetrics(
       MetricRegistry registry, Supplier<? extends Collection<?>> held, LongSupplier granted) {
@@ -24,6 +27,9 @@
     this.asks = registry.counter("quota_asks");
     this.unanswered = registry.counter("quota_asks_unanswered");
     this.refused = registry.counter("quota_refused");
+    this.permitsGranted = registry.counter("endpoint_permits_granted");
+    this.permitsRefused = registry.counter("endpoint_permits_refused");
+    this.permitsExpired = registry.counter("endpoint_permits_expired");
   }
 
   /** Records the time for which a request waited for a grant. */
@@ -42,4 +48,14 @@
   void countRefused() {
     refused.inc();
   }
+
+  /** Counts the result of a request for a permit. */
+  void countPermit(boolean isGranted) {
+    (isGranted ? permitsGranted : permitsRefused).inc();
+  }
+
+  /** Counts a permit that no request has used. */
+  void countExpiredPermit() {
+    permitsExpired.inc();
+  }
 }
--- a/snipewick/src/main/java/org/snipewick/quota/TeamQuotas.java
+++ b/snipewick/src/main/java/org/snipewick/quota/TeamQuotas.java
@@ -173,6 +173,10 @@
         () -> onResult.accept(new PermitResult(false, timer.nanoTime(), NOT_JOINED_RETRY)));
   }
 
+  QuotaMetrics metrics() {
+    return metrics;
+  }
+
   /** Returns the number of registered instances. */
   int instances() {
     return instances;
--- a/snipewick/src/main/java/org/snipewick/relay/RelayDispatcher.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayDispatcher.java
@@ -25,6 +25,7 @@
 import org.snipewick.placement.PlacementGrant;
 import org.snipewick.placement.PlacementListener;
 import org.snipewick.placement.WaitingRequest;
+import org.snipewick.quota.EndpointLimits;
 import org.snipewick.quota.EndpointPermitStock;
 import org.snipewick.registry.RegisteredEndpoint;
 import org.snipewick.rollout.RequestVersion;
@@ -51,7 +52,7 @@
   private final RelayPools pools;
   private final CallQuarantine quarantine;
   private final PlannedStop plannedStop;
-  private final EndpointLimits limits = new EndpointLimits();
+  private final EndpointLimits limits = EndpointLimits.empty();
   private final EndpointPermitStock permits;
   private final Hedges hedges;
 
@@ -102,7 +103,12 @@
   /** Replaces the list of endpoints of all pools. */
   void updateEndpoints(Collection<RegisteredEndpoint> endpoints) {
     pools.updateEndpoints(endpoints);
-    limits.retain(endpoints);
+    limits
+        .retain(endpoints)
+        .forEach(
+            endpoint ->
+                telemetry.endpointLimited(
+                    endpoint, OptionalDouble.empty(), RelayTelemetry.LimitCause.ENTRY));
     permits.retain(endpoints.stream().map(RegisteredEndpoint::id).collect(Collectors.toSet()));
   }
 
@@ -411,7 +417,7 @@
   private void recordLimit(EndpointId endpoint, EndpointResponseHead head) {
     OptionalDouble limit = head.requestLimit(dependencies.headerNames());
     if (!head.isMisdirected() && limits.update(endpoint, limit, now())) {
-      telemetry.endpointLimited(endpoint, limit);
+      telemetry.endpointLimited(endpoint, limit, RelayTelemetry.LimitCause.RESPONSE);
     }
   }
 
@@ -423,7 +429,7 @@
   /** Applies a limit that a response to another instance has named or ended. */
   void adoptLimit(EndpointId endpoint, EndpointLimit limit) {
     if (limits.adopt(endpoint, limit, now())) {
-      telemetry.endpointLimited(endpoint, limits.limit(endpoint));
+      telemetry.endpointLimited(endpoint, limits.limit(endpoint), RelayTelemetry.LimitCause.REPORT);
     }
   }
 
--- a/snipewick/src/main/java/org/snipewick/relay/RelayTelemetry.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayTelemetry.java
@@ -4,6 +4,7 @@
 
 import java.util.Arrays;
 import java.util.LinkedHashMap;
+import java.util.Locale;
 import java.util.Map;
 import java.util.OptionalDouble;
 import org.snipewick.event.EventType;
@@ -77,13 +78,27 @@
   }
 
   /** Records that an endpoint named another limit of its requests, or no longer names one. */
-  void endpointLimited(EndpointId endpoint, OptionalDouble limit) {
+  void endpointLimited(EndpointId endpoint, OptionalDouble limit, LimitCause cause) {
     dependencies
         .events()
         .record(
             EventType.ENDPOINT_LIMITED,
             endpoint.value(),
-            Map.of("limit", limit.isPresent() ? String.valueOf(limit.getAsDouble()) : ""));
+            Map.of(
+                "limit",
+                limit.isPresent() ? String.valueOf(limit.getAsDouble()) : "",
+                "cause",
+                cause.name().toLowerCase(Locale.ROOT)));
+  }
+
+  /** What changed the limit of an endpoint. */
+  enum LimitCause {
+    /** A response to this instance. */
+    RESPONSE,
+    /** A response to another instance, which reported it. */
+    REPORT,
+    /** The endpoint's entry in the list of endpoints. */
+    ENTRY
   }
 
   /** Records that a second attempt of a slow request is sent to another endpoint. */
--- /dev/null
+++ b/snipewick/src/test/java/org/snipewick/quota/EndpointLimitsTest.java
@@ -0,0 +1,70 @@
+package org.snipewick.quota;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.OptionalDouble;
+import org.junit.jupiter.api.Test;
+import org.snipewick.fleet.EndpointLimit;
+import org.snipewick.identity.EndpointId;
+import org.snipewick.identity.FailureDomain;
+import org.snipewick.identity.PoolName;
+import org.snipewick.registry.RegisteredEndpoint;
+
+class EndpointLimitsTest {
+  @Test
+  void shouldReportChangeWhenLimitIsNamedChangedOrLifted() {
+    EndpointLimits limits = EndpointLimits.empty();
+    EndpointId endpoint = EndpointId.of("e");
+    assertThat(limits.update(endpoint, OptionalDouble.empty(), 1)).isFalse();
+    assertThat(limits.update(endpoint, OptionalDouble.of(4.6), 2)).isTrue();
+    assertThat(limits.update(endpoint, OptionalDouble.of(4.6), 3)).isFalse();
+    assertThat(limits.update(endpoint, OptionalDouble.of(2), 4)).isTrue();
+    assertThat(limits.update(endpoint, OptionalDouble.empty(), 5)).isTrue();
+    assertThat(limits.size()).isZero();
+  }
+
+  /** Guards against a limit that another instance has seen later or earlier than this one. */
+  @Test
+  void shouldFollowLatestResponseWhenOtherInstancesReportLimits() {
+    EndpointLimits limits = EndpointLimits.empty();
+    limits.retain(List.of(listed(1)));
+    EndpointId endpoint = listed(1).id();
+    long now = Duration.ofSeconds(60).toNanos();
+    assertThat(limits.adopt(endpoint, new EndpointLimit(4, 800), now)).isTrue();
+    assertThat(limits.reported(now)).isEmpty();
+    assertThat(limits.adopt(endpoint, new EndpointLimit(9, 900), now)).isFalse();
+    limits.update(endpoint, OptionalDouble.of(3), now);
+    assertThat(limits.adopt(endpoint, new EndpointLimit(-1, 100), now)).isFalse();
+    assertThat(limits.limit(endpoint)).hasValue(3);
+    assertThat(limits.reported(now)).containsEntry(endpoint, new EndpointLimit(3, 0));
+    long later = now + Duration.ofSeconds(6).toNanos();
+    assertThat(limits.reported(later)).isEmpty();
+    assertThat(limits.adopt(endpoint, new EndpointLimit(-1, 100), later)).isTrue();
+    assertThat(limits.limit(endpoint)).isEmpty();
+  }
+
+  @Test
+  void shouldEndLimitWhenEndpointStartsAgain() {
+    EndpointLimits limits = EndpointLimits.empty();
+    limits.retain(List.of(listed(1)));
+    limits.update(listed(1).id(), OptionalDouble.of(3), 1);
+    limits.retain(List.of(listed(1)));
+    assertThat(limits.size()).isEqualTo(1);
+    limits.retain(List.of(listed(2)));
+    assertThat(limits.size()).isZero();
+  }
+
+  private static RegisteredEndpoint listed(long startedEpochMillis) {
+    return new RegisteredEndpoint(
+        EndpointId.of("e"),
+        startedEpochMillis,
+        PoolName.of("p"),
+        FailureDomain.of("d"),
+        "127.0.0.1",
+        1,
+        2,
+        false);
+  }
+}
