Keep the limit of an endpoint while its entry lapses or changes

Cause: EndpointLimits ended a limit when the entry of its endpoint was missing or had another start. An entry says nothing of limits: it lapses when the endpoint is cut off from the store, and a new process may name a limit before its start is listed. All instances forgot the limit at the same moment and saw an endpoint without load. Ruled out: late responses and reports, as no instance wrote an empty limit by then, and permits, as none was granted for these requests.

Change: only a response ends a limit; limits of endpoints without an entry are kept for 10 minutes.

--- a/snipewick/src/main/java/org/snipewick/quota/EndpointLimits.java
+++ b/snipewick/src/main/java/org/snipewick/quota/EndpointLimits.java
@@ -7,21 +7,25 @@
 import java.util.Map;
 import java.util.OptionalDouble;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.snipewick.fleet.EndpointLimit;
 import org.snipewick.identity.EndpointId;
 import org.snipewick.registry.RegisteredEndpoint;
 
 /**
  * Requests per second that endpoints take from all instances together, by their latest responses to
- * this instance or to others. A limit ends with a response that names none and with a restart of
- * the endpoint. Not thread-safe.
+ * this instance or to others. A limit ends with a response that names none. Not thread-safe.
  */
 public final class EndpointLimits {
   /** Age up to which a statement is reported to others; endpoints repeat it with each response. */
   private static final Duration MAX_REPORTED_AGE = Duration.ofSeconds(5);
 
+  /** Time for which the limit of an endpoint without an entry is kept. */
+  static final Duration UNLISTED_RETENTION = Duration.ofMinutes(10);
+
   private final Map<EndpointId, Statement> statements = new HashMap<>();
-  private final Map<EndpointId, Long> startedEpochMillis = new HashMap<>();
+  private final Map<EndpointId, Long> unlistedSinceNanos = new HashMap<>();
+  private Set<EndpointId> listed = Set.of();
 
   /** What a response said; empty if it ended a limit. */
   private record Statement(OptionalDouble limit, long atNanos, boolean isOwn) {}
@@ -64,8 +68,7 @@
   public boolean adopt(EndpointId endpoint, EndpointLimit reported, long nowNanos) {
     long atNanos = nowNanos - Duration.ofMillis(reported.ageMillis()).toNanos();
     Statement known = statements.get(endpoint);
-    if (!startedEpochMillis.containsKey(endpoint)
-        || (known != null && atNanos - known.atNanos() <= 0)) {
+    if (!listed.contains(endpoint) || (known != null && atNanos - known.atNanos() <= 0)) {
       return false;
     }
     OptionalDouble limit =
@@ -115,31 +118,29 @@
   }
 
   /**
-   * Ends the limits of endpoints that are not listed or have started again.
+   * Removes the limits of endpoints that have not been listed for long. An entry may lapse and
+   * return while its endpoint goes on naming its limit, and a new process of an endpoint may name
+   * one before its start is listed, so that only a response ends a limit.
    *
    * @param endpoints all endpoints that are listed
-   * @return endpoints whose limits ended
+   * @param nowNanos current monotonic time, in nanoseconds
+   * @return endpoints whose limits were removed
    */
-  public Set<EndpointId> retain(Collection<RegisteredEndpoint> endpoints) {
-    Map<EndpointId, Long> started = new HashMap<>();
-    endpoints.forEach(each -> started.put(each.id(), each.startedEpochMillis()));
-    Set<EndpointId> ended = new HashSet<>();
-    statements
-        .entrySet()
-        .removeIf(
-            entry -> {
-              EndpointId id = entry.getKey();
-              Long before = startedEpochMillis.get(id);
-              boolean isForgotten =
-                  !started.containsKey(id) || (before != null && !before.equals(started.get(id)));
-              if (isForgotten && entry.getValue().limit().isPresent()) {
-                ended.add(id);
-              }
-              return isForgotten;
-            });
-    startedEpochMillis.clear();
-    startedEpochMillis.putAll(started);
-    return ended;
+  public Set<EndpointId> retain(Collection<RegisteredEndpoint> endpoints, long nowNanos) {
+    listed = endpoints.stream().map(RegisteredEndpoint::id).collect(Collectors.toSet());
+    unlistedSinceNanos.keySet().removeAll(listed);
+    Set<EndpointId> removed = new HashSet<>();
+    for (EndpointId endpoint : Set.copyOf(statements.keySet())) {
+      if (!listed.contains(endpoint)
+          && nowNanos - unlistedSinceNanos.computeIfAbsent(endpoint, id -> nowNanos)
+              > UNLISTED_RETENTION.toNanos()) {
+        unlistedSinceNanos.remove(endpoint);
+        if (statements.remove(endpoint).limit().isPresent()) {
+          removed.add(endpoint);
+        }
+      }
+    }
+    return removed;
   }
 
   /**
--- a/snipewick/src/main/java/org/snipewick/relay/RelayDispatcher.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayDispatcher.java
@@ -104,7 +104,7 @@
   void updateEndpoints(Collection<RegisteredEndpoint> endpoints) {
     pools.updateEndpoints(endpoints);
     limits
-        .retain(endpoints)
+        .retain(endpoints, now())
         .forEach(
             endpoint ->
                 telemetry.endpointLimited(
