End the limit of an endpoint only by a request sent after it was named

Callers would see: after an instance that was frozen wakes, an endpoint that names 2 requests a second gets 28 in 4 s (17 allowed).

Cause: the latest response to be read counted as the latest statement. An instance that was frozen, or whose packets were lost, reads responses from before the limit was named; these ended it there, and the report of the end, without age, ended it at all others. The same holds for a response that belongs to another request.

Change: a response without a limit ends it only if its request was sent after the limit was last named, by which the response is the later statement whatever the order of arrival; one with a protocol error ends none. The age of an end counts from the request, and half a second more at others, the time that reports take.

Before and after, most requests in 4 s (EndpointLimitFleetTest): 8 instances 28 (17 allowed) and 20 (8), 59 instances 27 (17); now within the bound, as at 340. A limit that is named no more still ends at all of 8, 59 and 340 instances within 10 s, before and after. The unit test of the order failed before.

--- a/snipewick/src/main/java/org/snipewick/fleet/EndpointLimit.java
+++ b/snipewick/src/main/java/org/snipewick/fleet/EndpointLimit.java
@@ -7,7 +7,8 @@
  *
  * @param requestsPerSecond requests per second that it takes from all instances together; negative
  *     if the response ended an earlier limit
- * @param ageMillis time since the response, in milliseconds
+ * @param ageMillis time since the response, or since its request was sent if it ended a limit, in
+ *     milliseconds
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record EndpointLimit(double requestsPerSecond, long ageMillis) {
--- a/snipewick/src/main/java/org/snipewick/quota/EndpointLimits.java
+++ b/snipewick/src/main/java/org/snipewick/quota/EndpointLimits.java
@@ -20,6 +20,9 @@
   /** Age up to which a statement is reported to others; endpoints repeat it with each response. */
   private static final Duration MAX_REPORTED_AGE = Duration.ofSeconds(5);
 
+  /** Time that a report takes, by which the end of a limit may be earlier than its age tells. */
+  private static final Duration MAX_REPORT_DELAY = Duration.ofMillis(500);
+
   /** Time for which the limit of an endpoint without an entry is kept. */
   static final Duration UNLISTED_RETENTION = Duration.ofMinutes(10);
 
@@ -27,7 +30,13 @@
   private final Map<EndpointId, Long> unlistedSinceNanos = new HashMap<>();
   private Set<EndpointId> listed = Set.of();
 
-  /** What a response said; empty if it ended a limit. */
+  /**
+   * What a response said.
+   *
+   * @param limit requests per second; empty if it ended a limit
+   * @param atNanos latest time at which a limit, or earliest at which the end of one, was stated
+   * @param isOwn whether the response was one to this instance
+   */
   private record Statement(OptionalDouble limit, long atNanos, boolean isOwn) {}
 
   private EndpointLimits() {}
@@ -42,19 +51,22 @@
   }
 
   /**
-   * Stores what a response to this instance names.
+   * Stores what a response to this instance names. A response without a limit ends it only if its
+   * request was sent after the limit was last named, as responses may arrive in another order than
+   * they were made in.
    *
    * @param endpoint endpoint that responded
    * @param named requests per second; empty if the response names no limit
+   * @param sentNanos monotonic time at which the request was sent, in nanoseconds
    * @param nowNanos current monotonic time, in nanoseconds
    * @return whether the limit has changed
    */
-  public boolean update(EndpointId endpoint, OptionalDouble named, long nowNanos) {
-    OptionalDouble before = limit(endpoint);
-    if (named.isPresent() || statements.containsKey(endpoint)) {
-      statements.put(endpoint, new Statement(named, nowNanos, true));
+  public boolean update(EndpointId endpoint, OptionalDouble named, long sentNanos, long nowNanos) {
+    Statement known = statements.get(endpoint);
+    if (named.isEmpty() && (known == null || sentNanos - known.atNanos() <= 0)) {
+      return false;
     }
-    return !named.equals(before);
+    return put(endpoint, new Statement(named, named.isPresent() ? nowNanos : sentNanos, true));
   }
 
   /**
@@ -66,18 +78,23 @@
    * @return whether the limit has changed
    */
   public boolean adopt(EndpointId endpoint, EndpointLimit reported, long nowNanos) {
-    long atNanos = nowNanos - Duration.ofMillis(reported.ageMillis()).toNanos();
-    Statement known = statements.get(endpoint);
-    if (!listed.contains(endpoint) || (known != null && atNanos - known.atNanos() <= 0)) {
-      return false;
-    }
     OptionalDouble limit =
         reported.requestsPerSecond() >= 0
             ? OptionalDouble.of(reported.requestsPerSecond())
             : OptionalDouble.empty();
+    long ageNanos = Duration.ofMillis(reported.ageMillis()).toNanos();
+    long atNanos = nowNanos - ageNanos - (limit.isEmpty() ? MAX_REPORT_DELAY.toNanos() : 0);
+    Statement known = statements.get(endpoint);
+    if (!listed.contains(endpoint) || (known != null && atNanos - known.atNanos() <= 0)) {
+      return false;
+    }
+    return put(endpoint, new Statement(limit, atNanos, false));
+  }
+
+  private boolean put(EndpointId endpoint, Statement statement) {
     OptionalDouble before = limit(endpoint);
-    statements.put(endpoint, new Statement(limit, atNanos, false));
-    return !limit.equals(before);
+    statements.put(endpoint, statement);
+    return !statement.limit().equals(before);
   }
 
   /**
--- a/snipewick/src/main/java/org/snipewick/relay/RelayDispatcher.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayDispatcher.java
@@ -371,11 +371,11 @@
     if (head.announcesDeparture(dependencies.headerNames())) {
       departureListener.accept(attempt.endpoint());
     }
-    recordLimit(attempt.endpoint().id(), head);
     head.requestedPause().ifPresent(pause -> attempt.pause(pause, now()));
     head.reportedLoad(dependencies.headerNames())
         .ifPresent(load -> attempt.updateReportedLoad(load, now()));
     Optional<String> error = head.protocolError(call.request().id(), dependencies.headerNames());
+    recordLimit(attempt, head, error.isEmpty());
     if (error.isPresent()) {
       attempt.exchange().cancel();
       attemptFailed(call, attempt, error.get());
@@ -414,9 +414,13 @@
     }
   }
 
-  private void recordLimit(EndpointId endpoint, EndpointResponseHead head) {
+  /** Records a limit, or its end if the response belongs to the request of the attempt. */
+  private void recordLimit(RelayAttempt attempt, EndpointResponseHead head, boolean isValid) {
+    EndpointId endpoint = attempt.endpoint().id();
     OptionalDouble limit = head.requestLimit(dependencies.headerNames());
-    if (!head.isMisdirected() && limits.update(endpoint, limit, now())) {
+    if (!head.isMisdirected()
+        && (isValid || limit.isPresent())
+        && limits.update(endpoint, limit, attempt.placedNanos(), now())) {
       telemetry.endpointLimited(endpoint, limit, RelayTelemetry.LimitCause.RESPONSE);
     }
   }
--- a/snipewick/src/test/java/org/snipewick/quota/EndpointLimitFleetTest.java
+++ b/snipewick/src/test/java/org/snipewick/quota/EndpointLimitFleetTest.java
@@ -37,6 +37,7 @@
   private static final Duration TOLD = Duration.ofMillis(500);
   private static final Duration WINDOW = Duration.ofSeconds(4);
   private static final Duration RESPONSE_TIME = Duration.ofMillis(600);
+  private static final Duration MAX_WAIT = Duration.ofMillis(1_200);
   private static final int MAX_IN_FLIGHT = 20;
 
   private final VirtualTimerService timer = VirtualTimerService.of(0);
@@ -44,6 +45,7 @@
   private final Map<InstanceId, Long> toldNanos = new HashMap<>();
   private final Map<InstanceId, Long> excusedUntilNanos = new HashMap<>();
   private final Map<InstanceId, List<Runnable>> receivedWhileFrozen = new HashMap<>();
+  private final Map<InstanceId, Long> waitingUntilNanos = new HashMap<>();
   private final List<Long> arrivals = new ArrayList<>();
   private QuotaFleet fleet;
   private SplittableRandom random;
@@ -89,6 +91,37 @@
     assertThat(maxInWindow()).isLessThanOrEqualTo(1.5 * 4 * limit + 5);
   }
 
+  /** Guards against responses from before the limit, read late by an instance that was frozen. */
+  @ParameterizedTest
+  @CsvSource({"8, 200, 2, 1", "8, 200, 0.5, 2", "59, 510, 2, 1", "340, 700, 0.5, 1"})
+  void shouldKeepLimitWhenFrozenInstanceReadsEarlierResponses(
+      int count, int lag, double named, int seed) {
+    start(count, lag, named, seed);
+    play(6);
+    InstanceId frozen = instances.get(1);
+    send(frozen);
+    freeze(frozen);
+    play(1);
+    nameLimit();
+    play(20);
+    wake(frozen);
+    play(10);
+    assertThat(maxInWindow()).isLessThanOrEqualTo(1.5 * 4 * limit + 5);
+  }
+
+  /** Guards against a limit that outlasts its last naming because its end is never believed. */
+  @ParameterizedTest
+  @CsvSource({"8, 200, 2, 1", "8, 200, 0.5, 2", "59, 510, 2, 1", "340, 700, 0.5, 1"})
+  void shouldEndLimitEverywhereWhenEndpointNamesItNoMore(
+      int count, int lag, double named, int seed) {
+    start(count, lag, named, seed);
+    nameLimit();
+    play(10);
+    isNamed = false;
+    play(10);
+    assertThat(limits.values()).allMatch(each -> each.limit(ENDPOINT).isEmpty());
+  }
+
   private void start(int count, int lag, double named, int seed) {
     limit = named;
     random = new SplittableRandom(seed);
@@ -182,24 +215,36 @@
     }
   }
 
+  /** Requests arrive at random instances and wait there for a while for a permit. */
   private void play(int seconds) {
     long endNanos = timer.nanoTime() + Duration.ofSeconds(seconds).toNanos();
     while (timer.nanoTime() < endNanos) {
       for (double expected = REQUESTS_PER_STEP; expected > 0; expected--) {
-        InstanceId instance = instances.get(random.nextInt(instances.size()));
-        if (random.nextDouble() < expected
-            && isListed
-            && inFlight < MAX_IN_FLIGHT
-            && !receivedWhileFrozen.containsKey(instance)
-            && fleet.permits(instance).isAvailable(ENDPOINT, timer.nanoTime())) {
-          fleet.permits(instance).use(ENDPOINT, timer.nanoTime());
-          send(instance);
+        if (random.nextDouble() < expected) {
+          waitingUntilNanos.put(
+              instances.get(random.nextInt(instances.size())),
+              timer.nanoTime() + MAX_WAIT.toNanos());
         }
       }
+      place();
       timer.advance(STEP);
     }
   }
 
+  private void place() {
+    waitingUntilNanos.values().removeIf(until -> until < timer.nanoTime());
+    for (InstanceId instance : List.copyOf(waitingUntilNanos.keySet())) {
+      if (isListed
+          && inFlight < MAX_IN_FLIGHT
+          && !receivedWhileFrozen.containsKey(instance)
+          && fleet.permits(instance).isAvailable(ENDPOINT, timer.nanoTime())) {
+        fleet.permits(instance).use(ENDPOINT, timer.nanoTime());
+        waitingUntilNanos.remove(instance);
+        send(instance);
+      }
+    }
+  }
+
   private void send(InstanceId instance) {
     long sentNanos = timer.nanoTime();
     boolean isTold = toldNanos.getOrDefault(instance, Long.MAX_VALUE) <= sentNanos - TOLD.toNanos();
@@ -223,7 +268,7 @@
   }
 
   private void respond(InstanceId instance, OptionalDouble named, long sentNanos) {
-    limits.get(instance).update(ENDPOINT, named, timer.nanoTime());
+    limits.get(instance).update(ENDPOINT, named, sentNanos, timer.nanoTime());
     if (named.isPresent()) {
       toldNanos.putIfAbsent(instance, timer.nanoTime());
     }
--- a/snipewick/src/test/java/org/snipewick/quota/EndpointLimitsTest.java
+++ b/snipewick/src/test/java/org/snipewick/quota/EndpointLimitsTest.java
@@ -17,11 +17,11 @@
   void shouldReportChangeWhenLimitIsNamedChangedOrLifted() {
     EndpointLimits limits = EndpointLimits.empty();
     EndpointId endpoint = EndpointId.of("e");
-    assertThat(limits.update(endpoint, OptionalDouble.empty(), 1)).isFalse();
-    assertThat(limits.update(endpoint, OptionalDouble.of(4.6), 2)).isTrue();
-    assertThat(limits.update(endpoint, OptionalDouble.of(4.6), 3)).isFalse();
-    assertThat(limits.update(endpoint, OptionalDouble.of(2), 4)).isTrue();
-    assertThat(limits.update(endpoint, OptionalDouble.empty(), 5)).isTrue();
+    assertThat(limits.update(endpoint, OptionalDouble.empty(), 0, 1)).isFalse();
+    assertThat(limits.update(endpoint, OptionalDouble.of(4.6), 1, 2)).isTrue();
+    assertThat(limits.update(endpoint, OptionalDouble.of(4.6), 2, 3)).isFalse();
+    assertThat(limits.update(endpoint, OptionalDouble.of(2), 3, 4)).isTrue();
+    assertThat(limits.update(endpoint, OptionalDouble.empty(), 5, 6)).isTrue();
     assertThat(limits.size()).isZero();
   }
 
@@ -35,7 +35,7 @@
     assertThat(limits.adopt(endpoint, new EndpointLimit(4, 800), now)).isTrue();
     assertThat(limits.reported(now)).isEmpty();
     assertThat(limits.adopt(endpoint, new EndpointLimit(9, 900), now)).isFalse();
-    limits.update(endpoint, OptionalDouble.of(3), now);
+    limits.update(endpoint, OptionalDouble.of(3), now - 1, now);
     assertThat(limits.adopt(endpoint, new EndpointLimit(-1, 100), now)).isFalse();
     assertThat(limits.limit(endpoint)).hasValue(3);
     assertThat(limits.reported(now)).containsEntry(endpoint, new EndpointLimit(3, 0));
@@ -45,17 +45,36 @@
     assertThat(limits.limit(endpoint)).isEmpty();
   }
 
+  /** Guards against a limit that ends by a response from before it was named. */
+  @Test
+  void shouldKeepLimitWhenRequestWasSentBeforeLimitWasNamed() {
+    EndpointLimits limits = EndpointLimits.empty();
+    limits.retain(List.of(listed(1)), 0);
+    EndpointId endpoint = listed(1).id();
+    long named = Duration.ofSeconds(60).toNanos();
+    long later = named + Duration.ofSeconds(3).toNanos();
+    limits.update(endpoint, OptionalDouble.of(3), named - 2, named);
+    assertThat(limits.update(endpoint, OptionalDouble.empty(), named - 1, later)).isFalse();
+    assertThat(limits.reported(later)).containsEntry(endpoint, new EndpointLimit(3, 3_000));
+    assertThat(limits.adopt(endpoint, new EndpointLimit(-1, 2_600), later)).isFalse();
+    assertThat(limits.limit(endpoint)).hasValue(3);
+    assertThat(limits.adopt(endpoint, new EndpointLimit(-1, 2_400), later)).isTrue();
+    limits.update(endpoint, OptionalDouble.of(3), later, later + 1);
+    assertThat(limits.update(endpoint, OptionalDouble.empty(), later + 2, later + 3)).isTrue();
+    assertThat(limits.size()).isZero();
+  }
+
   /** Guards against a limit that ends although no response has ended it. */
   @Test
   void shouldKeepLimitUntilNextResponseWhenEndpointStartsAgainOrEntryLapses() {
     EndpointLimits limits = EndpointLimits.empty();
     limits.retain(List.of(listed(1)), 0);
-    limits.update(listed(1).id(), OptionalDouble.of(3), 1);
+    limits.update(listed(1).id(), OptionalDouble.of(3), 0, 1);
     assertThat(limits.retain(List.of(listed(2)), 2)).isEmpty();
     assertThat(limits.retain(List.of(), 3)).isEmpty();
     assertThat(limits.retain(List.of(listed(2)), 4)).isEmpty();
     assertThat(limits.limit(listed(2).id())).hasValue(3);
-    limits.update(listed(2).id(), OptionalDouble.empty(), 5);
+    limits.update(listed(2).id(), OptionalDouble.empty(), 5, 6);
     assertThat(limits.size()).isZero();
   }
 
@@ -63,7 +82,7 @@
   void shouldRemoveLimitWhenEndpointHasNotBeenListedForLong() {
     EndpointLimits limits = EndpointLimits.empty();
     limits.retain(List.of(listed(1)), 0);
-    limits.update(listed(1).id(), OptionalDouble.of(3), 1);
+    limits.update(listed(1).id(), OptionalDouble.of(3), 0, 1);
     limits.retain(List.of(), 2);
     long retained = EndpointLimits.UNLISTED_RETENTION.toNanos();
     assertThat(limits.retain(List.of(), 2 + retained)).isEmpty();
