Return grants of brokers that do not know the limit of an endpoint

Callers would see: in large fleets, an endpoint gets requests beyond its limit from instances that were told of it, while the broker that places for them has not heard of the limit: it has just started, or the reports are late.

Cause: the broker places by the limits that it knows itself, and a grant did not say whether a permit was used. The requester, which may have passed on the limit half a second ago, sent the request all the same.

Change: a grant tells whether a permit was used. A requester that knows a limit returns a grant without one and places the request by its own queue, with a permit of its own. Ruled out: passing limits with each request, which costs bytes in every message.

All Broker*Test pass.

--- a/snipewick/src/main/java/org/snipewick/broker/BrokerMessages.java
+++ b/snipewick/src/main/java/org/snipewick/broker/BrokerMessages.java
@@ -207,9 +207,11 @@
    * @param endpoint endpoint to send it to
    * @param inFlight estimated number of requests in flight there before this one
    * @param waiting number of other requests that wait for the pool at the broker
+   * @param isPermitted whether a permit was used, as the broker knows a limit of the endpoint
    */
   @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-  public record Grant(long id, EndpointId endpoint, int inFlight, int waiting) {
+  public record Grant(
+      long id, EndpointId endpoint, int inFlight, int waiting, boolean isPermitted) {
 
     /** Checks that no component is null. */
     public Grant {
--- a/snipewick/src/main/java/org/snipewick/broker/BrokerRequester.java
+++ b/snipewick/src/main/java/org/snipewick/broker/BrokerRequester.java
@@ -225,7 +225,11 @@
       held.put(id, new HeldGrant(pool, grant));
       grants.add(
           new BrokerMessages.Grant(
-              id, placed.endpoint().id(), placed.inFlight(), placed.waiting()));
+              id,
+              placed.endpoint().id(),
+              placed.inFlight(),
+              placed.waiting(),
+              placer.pool(pool).needsPermit(placed.endpoint().id())));
       scheduleFlush();
     }
 
--- a/snipewick/src/main/java/org/snipewick/broker/BrokeredPlacer.java
+++ b/snipewick/src/main/java/org/snipewick/broker/BrokeredPlacer.java
@@ -298,7 +298,9 @@
     PoolPlacement pool = local.pool(request.pool());
     Optional<RegisteredEndpoint> endpoint =
         pool.findAccepting(granted.endpoint(), request.request());
-    if (endpoint.isEmpty()) {
+    // A broker that has just started may not know a limit that this instance was told.
+    boolean isUnpermitted = pool.needsPermit(granted.endpoint()) && !granted.isPermitted();
+    if (endpoint.isEmpty() || isUnpermitted) {
       unusedGrants.inc();
       link.returnUnused(granted.id());
       placeHere(request);
--- a/snipewick/src/main/java/org/snipewick/placement/PoolPlacement.java
+++ b/snipewick/src/main/java/org/snipewick/placement/PoolPlacement.java
@@ -165,6 +165,16 @@
         .filter(listed -> !listed.isLeaving());
   }
 
+  /**
+   * Returns whether an endpoint has named a limit, so that each request to it needs a permit.
+   *
+   * @param endpoint name of the endpoint
+   * @return whether a limit is known
+   */
+  public boolean needsPermit(EndpointId endpoint) {
+    return permits.requestsPerSecond(endpoint).isPresent();
+  }
+
   /**
    * Returns whether a filter excludes none of the endpoints that accept requests.
    *
--- a/snipewick/src/test/java/org/snipewick/broker/BrokeredPlacerTest.java
+++ b/snipewick/src/test/java/org/snipewick/broker/BrokeredPlacerTest.java
@@ -186,7 +186,7 @@
             7,
             9,
             0,
-            List.of(new BrokerMessages.Grant(1, EndpointId.of("e2"), 3, 0)),
+            List.of(new BrokerMessages.Grant(1, EndpointId.of("e2"), 3, 0, true)),
             List.of(new BrokerMessages.Refusal(2, PlacementDecision.Reason.QUEUE_TOO_LONG, 400)),
             List.of(3L));
     assertThat(roundTrip(codec, answer)).isEqualTo(answer);
