Keep pauses and requests in flight while the entry of an endpoint lapses

Cause: as for limits, what an endpoint said and what runs there was dropped with its entry. Its load began anew, without pause and with no request in flight, while requests of before went on; their ends were lost, too. Ruled out: announcements of departures, which the registry keeps for ten minutes.

Measured: the new case of PoolPlacementTest fails before (a request is placed during the pause) and passes now; the other cases of PoolPlacementTest, LargeFleetTest, Broker*Test and RelayDispatcherTest pass.

--- a/snipewick/src/main/java/org/snipewick/placement/PeerPlacements.java
+++ b/snipewick/src/main/java/org/snipewick/placement/PeerPlacements.java
@@ -2,7 +2,6 @@
 
 import static java.util.Objects.requireNonNull;
 
-import java.util.Map;
 import org.snipewick.identity.EndpointId;
 
 /**
@@ -11,13 +10,12 @@
  */
 public final class PeerPlacements {
   private final PoolPlacement pool;
-  private final Map<EndpointId, EndpointLoad> endpoints;
+  private final EndpointLoads loads;
   private final ResidenceTime residenceTime;
 
-  PeerPlacements(
-      PoolPlacement pool, Map<EndpointId, EndpointLoad> endpoints, ResidenceTime residenceTime) {
+  PeerPlacements(PoolPlacement pool, EndpointLoads loads, ResidenceTime residenceTime) {
     this.pool = requireNonNull(pool, "pool");
-    this.endpoints = requireNonNull(endpoints, "endpoints");
+    this.loads = requireNonNull(loads, "loads");
     this.residenceTime = requireNonNull(residenceTime, "residenceTime");
   }
 
@@ -27,10 +25,7 @@
    * @param endpoint endpoint at which a peer has placed it
    */
   public void begin(EndpointId endpoint) {
-    EndpointLoad load = endpoints.get(endpoint);
-    if (load != null) {
-      load.beginPlacedByPeer();
-    }
+    loads.find(endpoint).ifPresent(EndpointLoad::beginPlacedByPeer);
   }
 
   /**
@@ -42,11 +37,13 @@
    * @return grant, which replaces that of the peer
    */
   public PlacementGrant adopt(EndpointId endpoint, long promptTokens, long placedNanos) {
-    EndpointLoad load = endpoints.get(endpoint);
-    if (load != null) {
-      load.endPlacedByPeer();
-      load.begin(promptTokens);
-    }
+    loads
+        .find(endpoint)
+        .ifPresent(
+            load -> {
+              load.endPlacedByPeer();
+              load.begin(promptTokens);
+            });
     return new LocalGrant(pool, endpoint, promptTokens, placedNanos);
   }
 
@@ -62,10 +59,12 @@
     if (result == AttemptResult.ANSWERED) {
       residenceTime.add(nowNanos - placedNanos);
     }
-    EndpointLoad load = endpoints.get(endpoint);
-    if (load != null) {
-      load.endPlacedByPeer();
-      load.recordResult(result, nowNanos);
-    }
+    loads
+        .find(endpoint)
+        .ifPresent(
+            load -> {
+              load.endPlacedByPeer();
+              load.recordResult(result, nowNanos);
+            });
   }
 }
--- a/snipewick/src/main/java/org/snipewick/placement/PoolPlacement.java
+++ b/snipewick/src/main/java/org/snipewick/placement/PoolPlacement.java
@@ -34,12 +34,13 @@
   private final QueueOrder order;
   private final WaitLimit waitLimit;
   private final EndpointChoice choice;
-  private final Map<EndpointId, EndpointLoad> endpoints = new HashMap<>();
+  private final EndpointLoads loads = new EndpointLoads();
+  private final Map<EndpointId, EndpointLoad> endpoints = loads.listed();
   private final List<WaitingRequest> waiting = new ArrayList<>();
   private final ResidenceTime residenceTime = new ResidenceTime();
   private final ReturnSchedule returns = new ReturnSchedule();
   private final TeamShares teamShares = new TeamShares();
-  private final PeerPlacements placedByPeers = new PeerPlacements(this, endpoints, residenceTime);
+  private final PeerPlacements placedByPeers = new PeerPlacements(this, loads, residenceTime);
   private EndpointPermits permits = EndpointPermits.UNLIMITED;
 
   private PoolPlacement(
@@ -106,17 +107,7 @@
    * @param listed all listed endpoints of the pool, including those that are leaving
    */
   public void update(Collection<RegisteredEndpoint> listed) {
-    Set<EndpointId> missing = new HashSet<>(endpoints.keySet());
-    for (RegisteredEndpoint endpoint : listed) {
-      missing.remove(endpoint.id());
-      EndpointLoad load = endpoints.get(endpoint.id());
-      if (load == null) {
-        endpoints.put(endpoint.id(), new EndpointLoad(endpoint));
-      } else {
-        load.update(endpoint);
-      }
-    }
-    missing.forEach(endpoints::remove);
+    loads.update(listed);
   }
 
   /**
@@ -338,10 +329,7 @@
    * @param nowNanos current monotonic time, in nanoseconds
    */
   public void updateReportedLoad(EndpointId endpoint, ReportedLoad report, long nowNanos) {
-    EndpointLoad load = endpoints.get(endpoint);
-    if (load != null) {
-      load.updateReport(report, nowNanos);
-    }
+    loads.find(endpoint).ifPresent(load -> load.updateReport(report, nowNanos));
   }
 
   /**
@@ -352,10 +340,7 @@
    * @param nowNanos current monotonic time, in nanoseconds
    */
   public void pause(EndpointId endpoint, Duration pause, long nowNanos) {
-    EndpointLoad load = endpoints.get(endpoint);
-    if (load != null) {
-      load.requestPause(nowNanos + pause.toNanos());
-    }
+    loads.find(endpoint).ifPresent(load -> load.requestPause(nowNanos + pause.toNanos()));
   }
 
   /**
@@ -370,11 +355,13 @@
     if (result == AttemptResult.ANSWERED) {
       residenceTime.add(nowNanos - placedNanos);
     }
-    EndpointLoad load = endpoints.get(endpoint);
-    if (load != null) {
-      load.end();
-      load.recordResult(result, nowNanos);
-    }
+    loads
+        .find(endpoint)
+        .ifPresent(
+            load -> {
+              load.end();
+              load.recordResult(result, nowNanos);
+            });
   }
 
   /**
@@ -384,10 +371,7 @@
    * @param promptTokens tokens of the prompt
    */
   public void endPrefill(EndpointId endpoint, long promptTokens) {
-    EndpointLoad load = endpoints.get(endpoint);
-    if (load != null) {
-      load.endPrefill(promptTokens);
-    }
+    loads.find(endpoint).ifPresent(load -> load.endPrefill(promptTokens));
   }
 
   /**
@@ -398,10 +382,7 @@
    * @param nowNanos current monotonic time, in nanoseconds
    */
   public void recordServiceTime(EndpointId endpoint, double nanosPerUnit, long nowNanos) {
-    EndpointLoad load = endpoints.get(endpoint);
-    if (load != null) {
-      load.addServiceTime(nanosPerUnit, nowNanos);
-    }
+    loads.find(endpoint).ifPresent(load -> load.addServiceTime(nanosPerUnit, nowNanos));
   }
 
   /**
--- a/snipewick/src/test/java/org/snipewick/placement/PoolPlacementTest.java
+++ b/snipewick/src/test/java/org/snipewick/placement/PoolPlacementTest.java
@@ -206,6 +206,21 @@
     assertThat(place(1)).containsExactly("a");
   }
 
+  /** Guards against an endpoint that gets requests during its pause, as its entry lapsed. */
+  @Test
+  void shouldKeepRequestedPauseAndRequestsInFlightWhenEntryLapsesAndReturns() {
+    pool.update(List.of(endpoint("a", LOCAL, 4), endpoint("b", LOCAL, 4)));
+    assertThat(place(8)).hasSize(8);
+    pool.pause(EndpointId.of("a"), Duration.ofMillis(200), nowNanos);
+    pool.update(List.of(endpoint("b", LOCAL, 4)));
+    pool.end(EndpointId.of("a"), AttemptResult.CANCELLED, nowNanos, nowNanos);
+    nowNanos += SECOND_NANOS / 10;
+    pool.update(List.of(endpoint("a", LOCAL, 4), endpoint("b", LOCAL, 4)));
+    assertThat(place(1)).isEmpty();
+    nowNanos += SECOND_NANOS / 5;
+    assertThat(place(2)).containsExactly("a");
+  }
+
   @Test
   void shouldRefuseAtOnceWhenAllEndpointsPauseForLongerThanRequestMayWait() {
     pool.update(List.of(endpoint("a", LOCAL, 4)));
