Move the bounds on request bodies to a package of their own

This commit moves RequestBodies, BodyTurns and IncompleteBodies to the package body, and CountedEvent to event, with their tests, so that both kinds of process can use them. No other behaviour changes.

Measured: BodyTurnsTest, IncompleteBodiesTest, RequestBodiesTest, RelayServerTest, EarlyResponseTest and PackageDependencyTest pass.

--- a/snipewick/src/main/java/org/snipewick/relay/IncompleteBodies.java
+++ b/snipewick/src/main/java/org/snipewick/body/IncompleteBodies.java
@@ -1,4 +1,4 @@
-package org.snipewick.relay;
+package org.snipewick.body;
 
 import static java.util.Objects.requireNonNull;
 
--- a/snipewick/src/main/java/org/snipewick/relay/RequestBodies.java
+++ b/snipewick/src/main/java/org/snipewick/body/RequestBodies.java
@@ -1,4 +1,4 @@
-package org.snipewick.relay;
+package org.snipewick.body;
 
 import static java.util.Objects.requireNonNull;
 
@@ -18,7 +18,7 @@
  * memory account, so that requests with small ones are served meanwhile. Bodies take turns, see
  * {@link BodyTurns}. Used on one event loop only.
  */
-final class RequestBodies {
+public final class RequestBodies {
   /** Size from which a body counts as large. */
   static final int LARGE_BODY_BYTES = 64 * 1024;
 
@@ -38,7 +38,7 @@
    * @param timer source of time, on the event loop of the bodies
    * @param onGaveWay listener to bodies that lost their bytes before they were complete
    */
-  RequestBodies(MemoryAccount memory, TimerService timer, Runnable onGaveWay) {
+  public RequestBodies(MemoryAccount memory, TimerService timer, Runnable onGaveWay) {
     this.memory = requireNonNull(memory, "memory");
     incomplete = new IncompleteBodies(memory, timer, onGaveWay);
     turns = new BodyTurns(timer);
@@ -52,10 +52,10 @@
    * @param declaredBytes size that the request states; 0 if it states none
    * @param maxBytes maximum size
    * @param onProgress listener to the arrival of a further part of the body
-   * @return kept body; fails if it breaks off or is too large, or with a {@link
-   *     org.snipewick.failure.FailureException} if it cannot be kept
+   * @return kept body; fails if it breaks off, with a {@link BodyTooLargeException}, or with a
+   *     {@link org.snipewick.failure.FailureException} if it cannot be kept
    */
-  Promise<KeptBody> read(
+  public Promise<KeptBody> read(
       ChannelSupplier<ByteBuf> body, long declaredBytes, int maxBytes, Runnable onProgress) {
     Reception reception = new Reception(body, new KeptBody(memory), maxBytes, onProgress);
     if (declaredBytes <= maxBytes) {
@@ -65,8 +65,12 @@
     return reception.result;
   }
 
-  /** Returns the failure of a request whose body cannot be kept. */
-  static Failure cannotKeep() {
+  /**
+   * Returns the failure of a request whose body cannot be kept.
+   *
+   * @return refusal of a request that has not run
+   */
+  public static Failure cannotKeep() {
     return Failure.notRun(FailureType.SHED, "no memory for the body of the request")
         .withRetryAfter(RETRY_AFTER);
   }
@@ -139,7 +143,7 @@
       }
       if (receivedBytes > maxBytes) {
         discard();
-        result.trySetException(new IllegalStateException("body is larger than " + maxBytes));
+        result.trySetException(new BodyTooLargeException(maxBytes));
         return;
       }
       try {
@@ -171,7 +175,7 @@
   }
 
   /** Body of a request, which is kept until its call ends. */
-  static final class KeptBody {
+  public static final class KeptBody {
     private final MemoryAccount.Holder holder;
     private Runnable onEvicted = () -> {};
     private byte[] buffer = NO_BYTES;
@@ -181,13 +185,21 @@
       holder = memory.open(() -> onEvicted.run());
     }
 
-    /** Sets the listener that discards the body when it loses its memory. */
-    void onEvicted(Runnable listener) {
+    /**
+     * Sets the listener that discards the body when it loses its memory.
+     *
+     * @param listener listener
+     */
+    public void onEvicted(Runnable listener) {
       onEvicted = requireNonNull(listener, "listener");
     }
 
-    /** Returns the whole body, which is not copied if its size was declared. */
-    byte[] bytes() {
+    /**
+     * Returns the whole body, which is not copied if its size was declared.
+     *
+     * @return bytes, empty once the body is closed
+     */
+    public byte[] bytes() {
       if (buffer.length > size) {
         buffer = Arrays.copyOf(buffer, size);
       }
@@ -195,12 +207,12 @@
     }
 
     /** Records that the body is on its way to an endpoint and can no longer lose its memory. */
-    void pin() {
+    public void pin() {
       holder.pin();
     }
 
     /** Returns the memory; later calls have no effect. */
-    void close() {
+    public void close() {
       holder.close();
       buffer = NO_BYTES;
       size = 0;
--- a/snipewick/src/main/java/org/snipewick/relay/CountedEvent.java
+++ b/snipewick/src/main/java/org/snipewick/event/CountedEvent.java
@@ -1,16 +1,17 @@
-package org.snipewick.relay;
+package org.snipewick.event;
 
 import static java.util.Objects.requireNonNull;
 
 import com.codahale.metrics.Counter;
 import java.time.Duration;
 import java.util.Map;
-import org.snipewick.event.EventLog;
-import org.snipewick.event.EventType;
 import org.snipewick.time.TimerService;
 
-/** Event that a crowd of callers can cause many times a second: counted, and logged rarely. */
-final class CountedEvent {
+/**
+ * Event that a crowd of callers can cause many times a second: counted, and logged rarely. Not
+ * thread-safe.
+ */
+public final class CountedEvent {
   private static final long LOG_PERIOD_NANOS = Duration.ofSeconds(10).toNanos();
 
   private final EventType type;
@@ -20,7 +21,15 @@
   private long countSinceLogged;
   private long loggedAtNanos;
 
-  CountedEvent(EventType type, EventLog events, TimerService timer, Counter counter) {
+  /**
+   * Creates an event that has not occurred.
+   *
+   * @param type type of the log lines, whose field "count" has the occurrences since the last one
+   * @param events log
+   * @param timer source of time
+   * @param counter counter of all occurrences
+   */
+  public CountedEvent(EventType type, EventLog events, TimerService timer, Counter counter) {
     this.type = requireNonNull(type, "type");
     this.events = requireNonNull(events, "events");
     this.timer = requireNonNull(timer, "timer");
@@ -29,7 +38,7 @@
   }
 
   /** Counts one occurrence, and logs the occurrences since the last log line if it is due. */
-  void record() {
+  public void record() {
     counter.inc();
     countSinceLogged++;
     long nowNanos = timer.nanoTime();
--- a/snipewick/src/main/java/org/snipewick/relay/RelayCall.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayCall.java
@@ -9,6 +9,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import org.snipewick.body.RequestBodies;
 import org.snipewick.failure.Failure;
 import org.snipewick.failure.FailureType;
 import org.snipewick.identity.EndpointId;
--- a/snipewick/src/main/java/org/snipewick/relay/RelayDispatcher.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayDispatcher.java
@@ -14,6 +14,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
+import org.snipewick.body.RequestBodies;
 import org.snipewick.failure.Failure;
 import org.snipewick.failure.FailureException;
 import org.snipewick.failure.FailureType;
--- a/snipewick/src/main/java/org/snipewick/relay/RelayServer.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayServer.java
@@ -16,6 +16,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.snipewick.event.CountedEvent;
 import org.snipewick.event.EventType;
 import org.snipewick.fleet.EndpointLimit;
 import org.snipewick.identity.EndpointId;
--- a/snipewick/src/main/java/org/snipewick/relay/RelayServlet.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayServlet.java
@@ -11,6 +11,8 @@
 import io.activej.promise.Promises;
 import java.time.Duration;
 import java.util.Optional;
+import org.snipewick.body.RequestBodies;
+import org.snipewick.event.CountedEvent;
 import org.snipewick.event.EventType;
 import org.snipewick.failure.Failure;
 import org.snipewick.failure.FailureException;
--- a/snipewick/src/test/java/org/snipewick/relay/BodyTurnsTest.java
+++ b/snipewick/src/test/java/org/snipewick/body/BodyTurnsTest.java
@@ -1,4 +1,4 @@
-package org.snipewick.relay;
+package org.snipewick.body;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -11,8 +11,8 @@
 import java.util.List;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
+import org.snipewick.body.RequestBodies.KeptBody;
 import org.snipewick.memory.MemoryAccount;
-import org.snipewick.relay.RequestBodies.KeptBody;
 import org.snipewick.time.VirtualTimerService;
 
 /** Guards against bodies in tiny chunks that keep the event loop from everything else. */
