Copy the path of a relayed request before its body is read

Callers might see: a request is relayed with a path that another connection has sent.

Cause: a body that arrives in one piece with its head shares a buffer of the HTTP library with it. Reading the body releases the buffer to a pool that all threads use, and the path was read from it afterwards. In a front, the window is the microseconds until then, against the thread of the peer connections.

Change: method, path and query are copied before the body is read, as the headers were already. Measured: RelayServerTest, RelayStreamTest, RequestBodiesTest, EarlyResponseTest and DefectTest pass.

--- a/snipewick/src/main/java/org/snipewick/relay/RelayServlet.java
+++ b/snipewick/src/main/java/org/snipewick/relay/RelayServlet.java
@@ -92,6 +92,11 @@
       connections.closeAfterResponse(received.getConnection());
       return Promise.of(problemResponse("", malformed(error.get())));
     }
+    // Read before the body: a body that arrived with its head shares a buffer with it, which others
+    // may use once the body was read.
+    HttpMethod method = received.getMethod();
+    String pathAndQuery = received.getPathAndQuery();
+    String path = received.getPath();
     connections.beginBody(connection);
     return requestBodies
         .read(
@@ -100,7 +105,18 @@
             maxBodyBytes(),
             () -> connections.recordProgress(connection))
         .then(
-            body -> relay(received, headers, body, receivedNanos),
+            body ->
+                relay(
+                    connection,
+                    RelayRequest.of(
+                        method,
+                        pathAndQuery,
+                        path,
+                        headers,
+                        body.bytes(),
+                        receivedNanos,
+                        dependencies.headerNames()),
+                    body),
             thrown -> Promise.of(bodyNotRead(received, headers, thrown)));
   }
 
@@ -135,19 +151,9 @@
   }
 
   private Promise<HttpResponse> relay(
-      HttpRequest received, Headers headers, RequestBodies.KeptBody body, long receivedNanos) {
-    RelayRequest request =
-        RelayRequest.of(
-            received.getMethod(),
-            received.getPathAndQuery(),
-            received.getPath(),
-            headers,
-            body.bytes(),
-            receivedNanos,
-            dependencies.headerNames());
+      HttpServerConnection connection, RelayRequest request, RequestBodies.KeptBody body) {
     RelayCall call = new RelayCall(request, body);
     body.onEvicted(() -> dispatcher.bodyEvicted(call));
-    HttpServerConnection connection = received.getConnection();
     connections.beginRequest(connection, () -> dispatcher.callerDisconnected(call));
     call.onFinished(
         () -> {
