Let connections give way that stall after a response

Cause: at the limit of connections only those with an incomplete first request and idle ones give way. A connection that has served a request and is being read counted as in use, as its response may still be written. Class: what callers share and hold without finishing.

Change: such a connection counts as stalled 2 s after its response, and gives way after incomplete and idle ones, the one without progress for longest first. Ruled out: closing it at once, which would break off responses that are being written.

The crowds of UnfinishedCallersTest move to a class of their own, with the same texts, counts and bounds; four cases are new.

--- a/snipewick/src/main/java/org/snipewick/transport/CallerConnection.java
+++ b/snipewick/src/main/java/org/snipewick/transport/CallerConnection.java
@@ -5,9 +5,16 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
+import java.time.Duration;
 
 /** State of one connection and of the request that is being served on it. */
 final class CallerConnection {
+  /**
+   * Time after a response within which it is written and the head of a further request arrives. A
+   * lost packet is sent again after a second at most on the links to callers.
+   */
+  private static final long STALL_NANOS = Duration.ofSeconds(2).toNanos();
+
   private final SocketChannel channel;
 
   /** Listener of the request that is being served; null if there is none. */
@@ -29,11 +36,32 @@
     this.progress = progress;
   }
 
-  /** Returns whether a request is awaited or is arriving for the first time, or has a body. */
-  boolean isIncomplete(HttpServerConnection key) {
+  /** What a connection is used for, those that are closed first to make room before the others. */
+  enum Use {
+    /** The first request is awaited or is arriving, or the body of a request. */
+    INCOMPLETE_REQUEST,
+    /** No request has begun since the latest response. */
+    IDLE,
+    /** The head of a further request does not end, or the latest response is not read. */
+    STALLED,
+    /** A request is being served, or its response is being written. */
+    SERVING
+  }
+
+  /** Returns what the connection is used for at a monotonic time in nanoseconds. */
+  Use use(HttpServerConnection key, long nowNanos) {
     PoolLabel pool = key.getCurrentPool();
-    boolean isHeadAwaited = pool == PoolLabel.NEW || pool == PoolLabel.READ_WRITE;
-    return isReceivingBody || (isHeadAwaited && !hasServed && onDisconnected == null);
+    boolean isHeadAwaited =
+        onDisconnected == null && (pool == PoolLabel.NEW || pool == PoolLabel.READ_WRITE);
+    if (isReceivingBody || (isHeadAwaited && !hasServed)) {
+      return Use.INCOMPLETE_REQUEST;
+    }
+    if (pool == PoolLabel.KEEP_ALIVE) {
+      return Use.IDLE;
+    }
+    return isHeadAwaited && nowNanos - headersAwaitedSinceNanos > STALL_NANOS
+        ? Use.STALLED
+        : Use.SERVING;
   }
 
   /** Returns whether a request is being served or its response is not yet fully written. */
--- a/snipewick/src/main/java/org/snipewick/transport/CallerConnections.java
+++ b/snipewick/src/main/java/org/snipewick/transport/CallerConnections.java
@@ -10,7 +10,6 @@
 import io.activej.http.HttpResponse;
 import io.activej.http.HttpServerConnection;
 import io.activej.http.MalformedHttpException;
-import io.activej.http.PoolLabel;
 import io.activej.net.WorkerServer;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
@@ -44,6 +43,7 @@
   private int maxConnections = Integer.MAX_VALUE;
   private Runnable onLimited = () -> {};
   private long progressCount;
+  private long probedNanos;
   private AcceptQueue acceptQueue;
   private volatile boolean empty = true;
 
@@ -99,8 +99,8 @@
 
   /**
    * Limits the number of open connections. If it is reached, the connection whose request has been
-   * incomplete for longest without progress is closed, or an idle one; if there is none, a new
-   * connection is closed.
+   * incomplete for longest without progress is closed, or an idle one, or one that has stalled
+   * after a response; if there is none, a new connection is closed.
    *
    * @param limit maximum number of connections
    * @param onLimited listener that is called for each connection that is closed
@@ -165,9 +165,9 @@
     onLimited.run();
     Optional<Map.Entry<HttpServerConnection, CallerConnection>> givesWay =
         connections.entrySet().stream()
-            .filter(entry -> entry.getValue().isIncomplete(entry.getKey()) || isIdle(entry))
+            .filter(entry -> use(entry) != CallerConnection.Use.SERVING)
             .min(
-                Comparator.comparing(CallerConnections::isIdle)
+                Comparator.comparing(this::use)
                     .thenComparingLong(entry -> entry.getValue().progress));
     givesWay.ifPresent(
         entry -> {
@@ -179,8 +179,8 @@
     return givesWay.isPresent();
   }
 
-  private static boolean isIdle(Map.Entry<HttpServerConnection, CallerConnection> entry) {
-    return entry.getKey().getCurrentPool() == PoolLabel.KEEP_ALIVE;
+  private CallerConnection.Use use(Map.Entry<HttpServerConnection, CallerConnection> entry) {
+    return entry.getValue().use(entry.getKey(), probedNanos);
   }
 
   /**
@@ -297,6 +297,7 @@
    * @param nowNanos monotonic time in nanoseconds
    */
   public void probe(long nowNanos) {
+    probedNanos = nowNanos;
     for (Map.Entry<HttpServerConnection, CallerConnection> entry :
         List.copyOf(connections.entrySet())) {
       CallerConnection connection = entry.getValue();
--- a/systemtests/src/test/java/org/snipewick/systemtests/platform/UnfinishedCallersTest.java
+++ b/systemtests/src/test/java/org/snipewick/systemtests/platform/UnfinishedCallersTest.java
@@ -1,6 +1,5 @@
 package org.snipewick.systemtests.platform;
 
-import static java.nio.charset.StandardCharsets.US_ASCII;
 import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -9,20 +8,19 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.nio.ByteBuffer;
-import java.nio.channels.SocketChannel;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
-import java.util.concurrent.locks.LockSupport;
-import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
+import org.snipewick.bench.cluster.Await;
 import org.snipewick.bench.cluster.FrontInstance;
+import org.snipewick.systemtests.CallerCrowd;
 
 /**
  * Tests a front process with lowered limits while a crowd of callers does not finish its requests.
@@ -39,9 +37,6 @@
   /** Leaves descriptors for connections to endpoints and the store. */
   private static final long MAX_OPEN_DESCRIPTORS = MAX_DESCRIPTORS - 10;
 
-  /** Time after which the crowd is complete even if the front does not read what it sends. */
-  private static final long CROWD_SENDING_NANOS = 20_000_000_000L;
-
   private static final int HEADS = 40;
   private static final int HEAD_BYTES = 400_000;
   private static final int EMPTY_LINE_CALLERS = 10;
@@ -49,11 +44,14 @@
   private static final int BODIES = 200;
   private static final int TINY_CHUNKS = 20_000;
   private static final int LARGE_CHUNK_BYTES = 60_000;
+  private static final int ENDLESS_PARTS = 40;
+  private static final int ENDLESS_PART_BYTES = 2_000_000;
+  private static final Duration RETRY_TIME = Duration.ofSeconds(20);
 
   private final ExecutorService executor = Executors.newCachedThreadPool();
-  private final List<SocketChannel> crowd = new ArrayList<>();
   private HttpServer endpoint;
   private FrontInstance front;
+  private CallerCrowd crowd;
 
   @BeforeEach
   void start() throws IOException {
@@ -78,13 +76,12 @@
                 + "\"state\":\"ready\",\"born\":1}")
             .formatted(endpoint.getAddress().getPort()));
     front.awaitReady();
+    crowd = new CallerCrowd(front.callers(), "POST /open/a");
   }
 
   @AfterEach
   void stop() throws IOException {
-    for (SocketChannel caller : crowd) {
-      caller.close();
-    }
+    crowd.close();
     front.close();
     endpoint.stop(0);
     executor.shutdownNow();
@@ -102,61 +99,6 @@
     exchange.close();
   }
 
-  private static String endlessHead() {
-    return "GET /open/a HTTP/1.1\r\nHost: 127.0.0.1\r\n"
-        + ("X-Filler: " + "x".repeat(988) + "\r\n").repeat(HEAD_BYTES / 1_000);
-  }
-
-  private static String emptyLines() {
-    return "\r\n".repeat(EMPTY_LINE_BYTES / 2);
-  }
-
-  private static String bodyInTinyChunks() {
-    return chunkedHead() + "1\r\nx\r\n".repeat(TINY_CHUNKS);
-  }
-
-  private static String bodyInLargeChunk() {
-    return chunkedHead()
-        + Integer.toHexString(LARGE_CHUNK_BYTES + 1)
-        + "\r\n"
-        + "x".repeat(LARGE_CHUNK_BYTES);
-  }
-
-  private static String chunkedHead() {
-    return "POST /open/a HTTP/1.1\r\nHost: 127.0.0.1\r\nRequest-Id: crowd\r\n"
-        + "Transfer-Encoding: chunked\r\n\r\n";
-  }
-
-  /** Opens a connection for each text, sends the texts as far as the front reads, and stops. */
-  private void sendCrowd(List<String> texts) throws IOException {
-    List<ByteBuffer> unsent = new ArrayList<>();
-    for (String text : texts) {
-      SocketChannel caller = SocketChannel.open(front.callers());
-      caller.configureBlocking(false);
-      crowd.add(caller);
-      unsent.add(ByteBuffer.wrap(text.getBytes(US_ASCII)));
-    }
-    long endNanos = System.nanoTime() + CROWD_SENDING_NANOS;
-    while (unsent.stream().anyMatch(ByteBuffer::hasRemaining) && System.nanoTime() < endNanos) {
-      for (int index = 0; index < unsent.size(); index++) {
-        sendSome(crowd.get(index), unsent.get(index));
-      }
-      LockSupport.parkNanos(5_000_000);
-    }
-  }
-
-  private static void sendSome(SocketChannel caller, ByteBuffer unsent) {
-    try {
-      caller.write(unsent);
-    } catch (IOException closedByFront) {
-      unsent.position(unsent.limit());
-    }
-  }
-
-  private static List<String> repeat(int count, String text) {
-    return IntStream.range(0, count).mapToObj(index -> text).toList();
-  }
-
   private void checkThatOthersAreServed() {
     assertThat(front.process().isAlive()).isTrue();
     Map<String, String> headers = Map.of("Request-Id", "ordinary");
@@ -170,39 +112,77 @@
 
   @Test
   void shouldServeOthersWhenHeadsDoNotEnd() throws IOException {
-    sendCrowd(repeat(HEADS, endlessHead()));
+    crowd.send(CallerCrowd.repeat(HEADS, crowd.endlessHead(HEAD_BYTES)));
 
     checkThatOthersAreServed();
   }
 
   @Test
   void shouldServeOthersWhenEmptyLinesDoNotEnd() throws IOException {
-    sendCrowd(repeat(EMPTY_LINE_CALLERS, emptyLines()));
+    crowd.send(CallerCrowd.repeat(EMPTY_LINE_CALLERS, crowd.emptyLines(EMPTY_LINE_BYTES)));
 
     checkThatOthersAreServed();
   }
 
   @Test
   void shouldServeOthersWhenBodiesInTinyChunksStopJustShort() throws IOException {
-    sendCrowd(repeat(BODIES, bodyInTinyChunks()));
+    crowd.send(CallerCrowd.repeat(BODIES, crowd.bodyInTinyChunks(TINY_CHUNKS)));
 
     checkThatOthersAreServed();
   }
 
   @Test
   void shouldServeOthersWhenBodiesInLargeChunksStopJustShort() throws IOException {
-    sendCrowd(repeat(BODIES, bodyInLargeChunk()));
+    crowd.send(CallerCrowd.repeat(BODIES, crowd.bodyInLargeChunk(LARGE_CHUNK_BYTES)));
 
     checkThatOthersAreServed();
   }
 
+  @Test
+  void shouldServeOthersWhenCallersSendNothing() throws IOException {
+    crowd.send(CallerCrowd.repeat(BODIES, ""));
+
+    checkThatOthersAreServed();
+  }
+
+  @Test
+  void shouldServeOthersWhenTrailersDoNotEnd() throws IOException {
+    crowd.send(CallerCrowd.repeat(ENDLESS_PARTS, crowd.endlessTrailers(ENDLESS_PART_BYTES)));
+
+    checkThatOthersAreServed();
+  }
+
+  @Test
+  void shouldServeOthersWhenChunkExtensionsDoNotEnd() throws IOException {
+    crowd.send(CallerCrowd.repeat(ENDLESS_PARTS, crowd.endlessChunkExtension(ENDLESS_PART_BYTES)));
+
+    checkThatOthersAreServed();
+  }
+
+  @Test
+  void shouldServeOthersWhenHeadsOfFurtherRequestsDoNotEnd() throws IOException {
+    crowd.send(CallerCrowd.repeat(BODIES, crowd.beginOfFurtherHead()));
+
+    // Callers try again on a new connection if theirs is closed.
+    Await.until(RETRY_TIME, "others are served", this::isRetryServed);
+    checkThatOthersAreServed();
+  }
+
+  private boolean isRetryServed() {
+    return front
+        .sendPost("/open/a", "ordinary body", Map.of("Request-Id", "retry"))
+        .handle((response, thrown) -> thrown == null && response.statusCode() == 200)
+        .join();
+  }
+
   @Test
   void shouldServeOthersWhenCrowdIsMixed() throws IOException {
-    List<String> texts = new ArrayList<>(repeat(HEADS / 2, endlessHead()));
-    texts.addAll(repeat(EMPTY_LINE_CALLERS / 2, emptyLines()));
-    texts.addAll(repeat(BODIES / 2, bodyInTinyChunks()));
-    texts.addAll(repeat(BODIES / 2, bodyInLargeChunk()));
-    sendCrowd(texts);
+    List<String> texts =
+        new ArrayList<>(CallerCrowd.repeat(HEADS / 2, crowd.endlessHead(HEAD_BYTES)));
+    texts.addAll(CallerCrowd.repeat(EMPTY_LINE_CALLERS / 2, crowd.emptyLines(EMPTY_LINE_BYTES)));
+    texts.addAll(CallerCrowd.repeat(BODIES / 2, crowd.bodyInTinyChunks(TINY_CHUNKS)));
+    texts.addAll(CallerCrowd.repeat(BODIES / 2, crowd.bodyInLargeChunk(LARGE_CHUNK_BYTES)));
+    crowd.send(texts);
 
     checkThatOthersAreServed();
   }
