Bound what unfinished callers use up in entry processes

Shown with a heap of 48 MB and 400 descriptors: 4 of 8 crowds left the process without an answer in 60 s (OutOfMemoryError in the threads of the store, of callers and of operators) or with 503.

Cause: request.http bounded each caller, and not all callers together. Class: what callers share and hold without finishing.

Change: the bounds of a front, shared evenly by the event loops: at most half of the descriptors for callers' connections, a fifth of the heap for bodies, half of it for incomplete ones, and turns for bodies in many pieces. Refusals are 503 as not run, with a Retry-After. Heads are copied before bodies are read: in the first run of the change a sound request got 401, as its head shared a buffer with its body (SharedBuffersTest; without the copy 6 of 400 fail, with it none).

All tests of request.http and body pass.

--- a/bench/src/main/java/org/snipewick/bench/cluster/Cluster.java
+++ b/bench/src/main/java/org/snipewick/bench/cluster/Cluster.java
@@ -1,6 +1,8 @@
 package org.snipewick.bench.cluster;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.http.HttpResponse;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -244,6 +246,43 @@
     processes.startEntry(name, settingsFile(name));
   }
 
+  /**
+   * Registers an entry instance, starts it with lowered limits and waits until it serves.
+   *
+   * @param name its name, of the form "domain.number"
+   * @param heapMegabytes maximum heap
+   * @param maxDescriptors maximum number of files and sockets that it may have open
+   * @return this cluster
+   */
+  public Cluster startLimitedEntry(String name, int heapMegabytes, int maxDescriptors) {
+    registerEntries(name);
+    processes.startLimitedEntry(name, settingsFile(name), heapMegabytes, maxDescriptors);
+    awaitServing(name);
+    return this;
+  }
+
+  /**
+   * Returns the address of an instance for callers.
+   *
+   * @param instance its name
+   * @return address on this host
+   */
+  public InetSocketAddress callers(String instance) {
+    return new InetSocketAddress(
+        InetAddress.getLoopbackAddress(), portsByInstance.get(instance).callers());
+  }
+
+  /**
+   * Returns the address of an instance for operators.
+   *
+   * @param instance its name
+   * @return address on this host
+   */
+  public InetSocketAddress operators(String instance) {
+    return new InetSocketAddress(
+        InetAddress.getLoopbackAddress(), portsByInstance.get(instance).operators());
+  }
+
   /**
    * Waits until an instance serves callers and operators.
    *
--- a/bench/src/main/java/org/snipewick/bench/cluster/Processes.java
+++ b/bench/src/main/java/org/snipewick/bench/cluster/Processes.java
@@ -68,12 +68,22 @@
   /** Starts a front of the users' platform with a lowered heap and limit of open descriptors. */
   ChildProcess startLimitedFront(
       String name, Path settings, int heapMegabytes, int maxDescriptors) {
+    return startLimited("front", name, settings, heapMegabytes, maxDescriptors);
+  }
+
+  /** Starts an entry instance with a lowered heap and limit of open descriptors. */
+  void startLimitedEntry(String name, Path settings, int heapMegabytes, int maxDescriptors) {
+    entries.put(name, startLimited("entry", name, settings, heapMegabytes, maxDescriptors));
+  }
+
+  private ChildProcess startLimited(
+      String command, String name, Path settings, int heapMegabytes, int maxDescriptors) {
     ChildProcess process =
         ChildProcess.startWithDescriptorLimit(
             directory,
             name,
             PRODUCT_BINARY,
-            List.of("front", "--settings", settings.toString()),
+            List.of(command, "--settings", settings.toString()),
             " -Xmx" + heapMegabytes + "m",
             maxDescriptors);
     byName.put(name, process);
--- a/snipewick/src/main/java/org/snipewick/entry/EntryProcess.java
+++ b/snipewick/src/main/java/org/snipewick/entry/EntryProcess.java
@@ -183,6 +183,7 @@
         inFlight,
         components.timer(),
         components.timeline(),
+        components.metrics(),
         () ->
             RequestId.of(
                 settings.instance(), components.incarnation(), sequence.incrementAndGet()));
--- a/snipewick/src/main/java/org/snipewick/request/http/CallerServer.java
+++ b/snipewick/src/main/java/org/snipewick/request/http/CallerServer.java
@@ -2,6 +2,7 @@
 
 import static java.util.Objects.requireNonNull;
 
+import com.codahale.metrics.MetricRegistry;
 import io.activej.eventloop.Eventloop;
 import io.activej.net.PrimaryServer;
 import java.io.IOException;
@@ -164,6 +165,7 @@
    * @param inFlight counter of the calls in flight
    * @param timer clock and timers
    * @param log event log
+   * @param metrics metrics of the instance
    * @param requestIds supplies a new identifier for each call
    */
   public record Dependencies(
@@ -172,6 +174,7 @@
       InFlight inFlight,
       TimerService timer,
       EventLog log,
+      MetricRegistry metrics,
       Supplier<RequestId> requestIds) {
 
     /** Throws {@link NullPointerException} if a component is null. */
@@ -181,6 +184,7 @@
       requireNonNull(inFlight, "inFlight");
       requireNonNull(timer, "timer");
       requireNonNull(log, "log");
+      requireNonNull(metrics, "metrics");
       requireNonNull(requestIds, "requestIds");
     }
   }
--- a/snipewick/src/main/java/org/snipewick/request/http/CallerServlet.java
+++ b/snipewick/src/main/java/org/snipewick/request/http/CallerServlet.java
@@ -18,6 +18,8 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
+import org.snipewick.body.BodyTooLargeException;
+import org.snipewick.body.RequestBodies;
 import org.snipewick.endpoint.EndpointClients;
 import org.snipewick.event.EventLog;
 import org.snipewick.event.EventType;
@@ -45,6 +47,7 @@
   private final InFlight inFlight;
   private final EndpointClients clients;
   private final CallerConnections connections;
+  private final RequestBodies bodies;
   private final TimerService timer;
   private final EventLog log;
   private final Supplier<RequestId> requestIds;
@@ -52,7 +55,8 @@
   CallerServlet(
       CallerServer.Dependencies dependencies,
       EndpointClients clients,
-      CallerConnections connections) {
+      CallerConnections connections,
+      RequestBodies bodies) {
     this.settings = dependencies.settings();
     this.requestPipeline = dependencies.requestPipeline();
     this.inFlight = dependencies.inFlight();
@@ -61,6 +65,7 @@
     this.requestIds = dependencies.requestIds();
     this.clients = clients;
     this.connections = connections;
+    this.bodies = bodies;
   }
 
   @Override
@@ -82,49 +87,80 @@
     if (declaredContentLength(request) > settings.maxBodyBytes()) {
       return Promise.of(refusal(tooLarge()));
     }
-    return Promises.timeout(settings.bodyTimeout(), request.loadBody(settings.maxBodyBytes()))
+    // Read before the body: a body that arrived with its head shares a buffer with it, which others
+    // may use once the body was read.
+    String method = request.getMethod().name();
+    String path = request.getPathAndQuery();
+    Map<String, String> headers = headersOf(request);
+    HttpServerConnection connection = request.getConnection();
+    connections.beginBody(connection);
+    Promise<RequestBodies.KeptBody> kept =
+        bodies.read(
+            request.takeBodyStream(),
+            declaredContentLength(request),
+            settings.maxBodyBytes(),
+            () -> connections.recordProgress(connection));
+    return Promises.timeout(settings.bodyTimeout(), kept)
         .then(
-            body -> handleLoaded(request, body, receivedNanos),
-            thrown -> Promise.of(refusal(bodyFailure(thrown))));
+            body ->
+                handleKept(
+                    connection,
+                    new CallerRequest(method, path, headers, body.bytes()),
+                    body,
+                    receivedNanos),
+            thrown -> {
+              kept.whenResult(RequestBodies.KeptBody::close);
+              return Promise.of(bodyNotRead(connection, thrown));
+            });
   }
 
-  private Promise<HttpResponse> handleLoaded(
-      HttpRequest request, ByteBuf body, long receivedNanos) {
-    if (body.readRemaining() > settings.maxBodyBytes()) {
-      return Promise.of(refusal(tooLarge()));
+  private HttpResponse bodyNotRead(HttpServerConnection connection, Exception thrown) {
+    connections.endRequest(connection, timer.nanoTime());
+    if (thrown instanceof FailureException refused) {
+      return refusal(refused.failure());
     }
-    CallerRequest received =
-        new CallerRequest(
-            request.getMethod().name(),
-            request.getPathAndQuery(),
-            headersOf(request),
-            body.getArray());
+    connections.closeAfterResponse(connection);
+    return refusal(bodyFailure(thrown));
+  }
+
+  private Promise<HttpResponse> handleKept(
+      HttpServerConnection connection,
+      CallerRequest received,
+      RequestBodies.KeptBody body,
+      long receivedNanos) {
+    body.pin();
     CallContext context = CallContext.of(requestIds.get(), received, receivedNanos, clients);
-    HttpServerConnection connection = request.getConnection();
     connections.beginRequest(connection, () -> onCallerDisconnected(context));
     // An answer may complete on another thread, but the body of a response belongs to its loop.
     CompletableFuture<HttpResponse> response =
         requestPipeline
             .serve(context)
             .handleAsync(
-                (answer, thrown) -> toResponse(context, connection, answer, thrown),
+                (answer, thrown) -> toResponse(context, connection, body, answer, thrown),
                 Eventloop.getCurrentEventloop());
     return Promise.ofCompletionStage(response)
-        .whenComplete((value, thrown) -> endUnlessStreamed(connection, value));
+        .whenComplete((value, thrown) -> endUnlessStreamed(connection, body, value));
   }
 
   private HttpResponse toResponse(
-      CallContext context, HttpServerConnection connection, Answer answer, Throwable thrown) {
+      CallContext context,
+      HttpServerConnection connection,
+      RequestBodies.KeptBody body,
+      Answer answer,
+      Throwable thrown) {
     if (thrown != null) {
       return problem(context, FailureException.unwrap(thrown));
     }
     if (answer instanceof Answer.Streamed streamed) {
-      StreamBody body =
+      StreamBody events =
           new StreamBody(
               streamed.events(),
-              () -> connections.endRequest(connection, timer.nanoTime()),
-              () -> onCallerDisconnected(context));
-      return Responses.streamed(context.id(), body);
+              () -> end(connection, body),
+              () -> {
+                body.close();
+                onCallerDisconnected(context);
+              });
+      return Responses.streamed(context.id(), events);
     }
     return Responses.whole(context.id(), (Answer.Whole) answer);
   }
@@ -140,12 +176,18 @@
         : response;
   }
 
-  private void endUnlessStreamed(HttpServerConnection connection, HttpResponse response) {
+  private void endUnlessStreamed(
+      HttpServerConnection connection, RequestBodies.KeptBody body, HttpResponse response) {
     if (response == null || response.isBodyLoaded()) {
-      connections.endRequest(connection, timer.nanoTime());
+      end(connection, body);
     }
   }
 
+  private void end(HttpServerConnection connection, RequestBodies.KeptBody body) {
+    body.close();
+    connections.endRequest(connection, timer.nanoTime());
+  }
+
   private void onCallerDisconnected(CallContext context) {
     if (!context.lifecycle().isCallerDisconnected()) {
       log.record(EventType.CALLER_LEFT, context.id().toString());
@@ -157,7 +199,7 @@
     return Responses.problem(Optional.empty(), failure, false);
   }
 
-  /** Converts an exception of the body; recognizes a body that is too large by the message. */
+  /** Converts an exception of the body; recognizes one of the HTTP parser by its message. */
   private Failure bodyFailure(Exception thrown) {
     if (thrown instanceof io.activej.async.exception.AsyncTimeoutException) {
       return Failure.notRun(
@@ -165,7 +207,9 @@
           "body did not arrive within " + settings.bodyTimeout().toMillis() + " ms");
     }
     String text = String.valueOf(thrown.getMessage()).toLowerCase(Locale.ROOT);
-    return text.contains("size") || text.contains("exceed")
+    return thrown instanceof BodyTooLargeException
+            || text.contains("size")
+            || text.contains("exceed")
         ? tooLarge()
         : Failure.notRun(FailureType.MALFORMED_REQUEST, "body could not be read");
   }
--- a/snipewick/src/main/java/org/snipewick/request/http/CallerWorker.java
+++ b/snipewick/src/main/java/org/snipewick/request/http/CallerWorker.java
@@ -6,11 +6,17 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
+import org.snipewick.body.RequestBodies;
 import org.snipewick.endpoint.EndpointClients;
+import org.snipewick.event.CountedEvent;
+import org.snipewick.event.EventType;
 import org.snipewick.failure.Failure;
 import org.snipewick.failure.FailureException;
+import org.snipewick.memory.MemoryAccount;
 import org.snipewick.time.TimerService;
 import org.snipewick.transport.CallerConnections;
+import org.snipewick.transport.ConnectionLimit;
+import org.snipewick.transport.EventloopTimerService;
 
 /** Event loop that serves callers, with its HTTP server and connections. */
 final class CallerWorker {
@@ -19,6 +25,9 @@
   /** Longer than the longest request timeout, which is 10 minutes. */
   private static final Duration MAX_RESPONSE_TIME = Duration.ofMinutes(11);
 
+  /** A buffer that grows holds up to three times its bytes for a moment. */
+  private static final int HEAP_DIVISOR_FOR_BODIES = 5;
+
   private final EventloopThread thread;
   private final Eventloop eventloop;
   private final CallerConnections connections;
@@ -41,7 +50,12 @@
             eventloop,
             dependencies.settings().headerTimeout()::toMillis,
             MalformedRequests::response);
-    CallerServlet servlet = new CallerServlet(dependencies, clients.apply(eventloop), connections);
+    connections.setLimit(
+        ConnectionLimit.ofProcess().divide(dependencies.settings().workers()),
+        event(EventType.CONNECTIONS_LIMITED, "callers_connections_limited", dependencies)::record);
+    CallerServlet servlet =
+        new CallerServlet(
+            dependencies, clients.apply(eventloop), connections, bodies(eventloop, dependencies));
     AsyncHttpServer server =
         AsyncHttpServer.create(eventloop, servlet)
             .withReadWriteTimeout(MAX_RESPONSE_TIME, MAX_RESPONSE_TIME)
@@ -52,6 +66,23 @@
     return new CallerWorker(thread, connections);
   }
 
+  private static RequestBodies bodies(Eventloop eventloop, CallerServer.Dependencies dependencies) {
+    long limitBytes =
+        Runtime.getRuntime().maxMemory()
+            / HEAP_DIVISOR_FOR_BODIES
+            / dependencies.settings().workers();
+    return new RequestBodies(
+        MemoryAccount.of(limitBytes, eventloop::post),
+        EventloopTimerService.of(eventloop),
+        event(EventType.BODY_GAVE_WAY, "callers_bodies_gave_way", dependencies)::record);
+  }
+
+  private static CountedEvent event(
+      EventType type, String counter, CallerServer.Dependencies dependencies) {
+    return new CountedEvent(
+        type, dependencies.log(), dependencies.timer(), dependencies.metrics().counter(counter));
+  }
+
   CallerConnections connections() {
     return connections;
   }
--- a/snipewick/src/main/java/org/snipewick/request/http/EventloopThread.java
+++ b/snipewick/src/main/java/org/snipewick/request/http/EventloopThread.java
@@ -4,6 +4,7 @@
 
 import io.activej.eventloop.Eventloop;
 import java.util.concurrent.CompletableFuture;
+import org.snipewick.transport.EventloopTimerService;
 
 /** Event loop that runs on its own daemon thread. */
 final class EventloopThread {
@@ -21,7 +22,7 @@
    * @return running event loop
    */
   static EventloopThread start(String name) {
-    Eventloop eventloop = Eventloop.create();
+    Eventloop eventloop = EventloopTimerService.monotonicEventloop();
     eventloop.keepAlive(true);
     EventloopThread started = new EventloopThread(eventloop);
     Thread thread = new Thread(started::run, requireNonNull(name, "name"));
--- a/snipewick/src/main/java/org/snipewick/transport/ConnectionLimit.java
+++ b/snipewick/src/main/java/org/snipewick/transport/ConnectionLimit.java
@@ -40,6 +40,16 @@
     return of(maxDescriptors, Runtime.getRuntime().maxMemory());
   }
 
+  /**
+   * Returns the limit of one of several event loops that share this limit.
+   *
+   * @param eventloops number of event loops, positive
+   * @return limit of each
+   */
+  public ConnectionLimit divide(int eventloops) {
+    return new ConnectionLimit(Math.max(1, maxConnections / eventloops));
+  }
+
   /** Returns the limit for a number of descriptors and a heap. */
   static ConnectionLimit of(long maxDescriptors, long heapBytes) {
     long connections =
--- a/snipewick/src/test/java/org/snipewick/request/http/CallerServerFixture.java
+++ b/snipewick/src/test/java/org/snipewick/request/http/CallerServerFixture.java
@@ -68,6 +68,7 @@
               inFlight,
               timer,
               log,
+              metrics,
               () -> RequestId.of(InstanceId.of("entry-1"), 1, sequence.incrementAndGet()));
       server =
           endpointClients.isPresent()
