--- a/systemtests/src/test/java/org/snipewick/systemtests/UnfinishedCallersOfEntryTest.java
+++ b/systemtests/src/test/java/org/snipewick/systemtests/UnfinishedCallersOfEntryTest.java
@@ -16,7 +16,7 @@
   private static final int HEAP_MEGABYTES = 48;
   private static final int MAX_DESCRIPTORS = 400;
 
-  /** Memory of the smallest machine of the users. */
+  /** Memory that the smallest deployment gives a process. */
   private static final long MAX_RESIDENT_BYTES = 280_000_000;
 
   /** Leaves descriptors for connections to endpoints, the store and peers. */
