Read response heads strictly before the HTTP client does

Cause: what a response is was decided by the lenient parser of the HTTP client. It checks no name, takes an empty length for 0, reads a body whose coding it does not know to the end of the connection, and the only check beside it was that of the status line. Nothing that reads the parsed head can find this: the parser has merged or dropped the bytes.

Change: ResponseReader reads each byte of a head once, before the client gets it, by the grammar of RFC 9112 and 9110, and names the rule that is broken. From then on the client gets nothing and the connection is closed: the outcome is unknown, only a request that may be repeated is, and neither "not run" nor Retry-After, limits and departures are believed. It replaces the check of the status line in HttpTransport, which the relay and the client of the store share.

Decided where the grammar leaves a choice: a fold, and a control byte in a reason phrase, are refused; repeated lengths that agree are taken, a list of them is not; a line feed alone ends a line only if all lines of the head end so, as a carriage return that is spoilt into a line feed would else end the head before its length; 204 may state the length 0, as before; an interim response is refused, as before, since requests never ask for one. "chunked" with a blank behind it is sound, but the client takes it for another coding: refused, where its chunk sizes came as the body before.

Ruled out: a list of bad names behind the parser, as it comes too late. Weighed: the parsers of Jetty and Netty, by what their documentation says, not run. They make an object of each field, and the client would still parse the head again by its own rules; their use would mean another client. The check needs no object of any field.

--- a/snipewick/src/main/java/org/snipewick/event/EventType.java
+++ b/snipewick/src/main/java/org/snipewick/event/EventType.java
@@ -54,7 +54,10 @@
   SCHEDULER_DECIDED(214, Level.INFO, "scheduler decided"),
   /** A request is retried at another endpoint because an attempt failed or was rejected. */
   REQUEST_REPEATED(215, Level.INFO, "request sent again"),
-  /** An endpoint closed or reset a connection before its response was complete. */
+  /**
+   * An endpoint closed or reset a connection before its response was complete, or what it sent is
+   * not a response; the details name the broken rule.
+   */
   RESPONSE_BROKEN(216, Level.INFO, "response broke off"),
   /** A second attempt of a request, whose response was slow, was sent to another endpoint. */
   HEDGE_SENT(217, Level.INFO, "hedge sent"),
--- a/snipewick/src/main/java/org/snipewick/transport/Exchange.java
+++ b/snipewick/src/main/java/org/snipewick/transport/Exchange.java
@@ -4,12 +4,13 @@
 
 import io.activej.async.exception.AsyncCloseException;
 import io.activej.net.socket.tcp.AsyncTcpSocket;
-import io.activej.net.socket.tcp.AsyncTcpSocketNio;
+import java.util.Optional;
+import org.snipewick.transport.response.MalformedResponseException;
 
 /** State of one HTTP request on its own connection. To be used on one event loop only. */
 public final class Exchange {
-  private final StatusLineInspector statusLine = new StatusLineInspector();
   private AsyncTcpSocket socket;
+  private ResponseInspector inspector;
   private boolean cancelled;
 
   private Exchange() {}
@@ -41,9 +42,9 @@
     return cancelled;
   }
 
-  /** Returns whether a response has begun whose status line is not valid. */
-  boolean hasMalformedStatusLine() {
-    return statusLine.isMalformed();
+  /** Returns why the response is malformed; empty if all of it that has arrived is sound. */
+  Optional<MalformedResponseException> violation() {
+    return inspector == null ? Optional.empty() : inspector.violation();
   }
 
   /**
@@ -61,15 +62,13 @@
    * Sets the connection on which the request is about to be written, or closes it if the exchange
    * was cancelled.
    */
-  void connected(AsyncTcpSocket connection) {
+  void connected(AsyncTcpSocket connection, ResponseInspector connectionInspector) {
     requireNonNull(connection, "connection");
     if (cancelled) {
       connection.closeEx(new AsyncCloseException("cancelled"));
     } else {
       socket = connection;
-      if (connection instanceof AsyncTcpSocketNio plain) {
-        plain.setInspector(statusLine);
-      }
+      inspector = requireNonNull(connectionInspector, "connectionInspector");
     }
   }
 }
--- a/snipewick/src/main/java/org/snipewick/transport/HttpTransport.java
+++ b/snipewick/src/main/java/org/snipewick/transport/HttpTransport.java
@@ -9,15 +9,19 @@
 import io.activej.http.HttpClientConnection;
 import io.activej.http.HttpRequest;
 import io.activej.http.HttpResponse;
-import io.activej.http.MalformedHttpException;
+import io.activej.net.socket.tcp.AsyncTcpSocket;
+import io.activej.net.socket.tcp.AsyncTcpSocketNio;
 import io.activej.promise.Promise;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import org.snipewick.transport.response.MalformedResponseException;
+import org.snipewick.transport.response.ResponseReader;
 
 /**
- * HTTP client on one event loop. Each request uses its own connection, so that a late or duplicated
- * response is never taken for the response to another request, and no request is lost on a
- * connection that the endpoint closes while it is idle.
+ * HTTP client on one event loop. All that it receives is checked before it is read ({@link
+ * ResponseReader}). Each request uses its own connection, so that a late or duplicated response is
+ * never taken for the response to another request, and no request is lost on a connection that the
+ * endpoint closes while it is idle.
  */
 public final class HttpTransport {
   /** Longer than any request; requests are cancelled earlier by the timers of their senders. */
@@ -54,29 +58,29 @@
    * @param request request to send
    * @param exchange new exchange, by which the request can be cancelled
    * @return promise that completes with the response when its headers have arrived, or fails if no
-   *     connection is established, it breaks before, or the status line is malformed
+   *     connection is established, it breaks before, or with a {@link MalformedResponseException}
+   *     if what has arrived is not a response
    */
   public Promise<HttpResponse> send(HttpRequest request, Exchange exchange) {
-    request.attach(Exchange.class, requireNonNull(exchange, "exchange"));
-    return client.request(request).then(response -> checkStatusLine(response, exchange));
+    requireNonNull(exchange, "exchange");
+    request.attach(Exchange.class, exchange);
+    return client
+        .request(request)
+        .mapException(
+            thrown -> exchange.violation().<Exception>map(malformed -> malformed).orElse(thrown));
   }
 
-  private static Promise<HttpResponse> checkStatusLine(HttpResponse response, Exchange exchange) {
-    if (!exchange.hasMalformedStatusLine()) {
-      return Promise.of(response);
-    }
-    exchange.cancel();
-    return Promise.ofException(new MalformedHttpException("status does not have three digits"));
-  }
-
-  /** Passes the socket of a connection to its exchange before anything is written to the socket. */
+  /** Prepares each connection before anything is written to it. */
   private static final class ConnectionInspector implements AsyncHttpClient.Inspector {
 
     @Override
     public void onConnect(HttpRequest request, HttpClientConnection connection) {
+      AsyncTcpSocket socket = ConnectionSockets.of(connection);
+      ResponseInspector inspector = new ResponseInspector(ResponseReader.ofOneResponse());
+      ((AsyncTcpSocketNio) socket).setInspector(inspector);
       Exchange exchange = request.getAttachment(Exchange.class);
       if (exchange != null) {
-        exchange.connected(ConnectionSockets.of(connection));
+        exchange.connected(socket, inspector);
       }
     }
 
--- a/snipewick/src/test/java/org/snipewick/relay/HedgesTest.java
+++ b/snipewick/src/test/java/org/snipewick/relay/HedgesTest.java
@@ -25,6 +25,8 @@
   private static final String SLOW_MARK = "slow-one";
   private static final String CHUNKED =
       "HTTP/1.1 200 OK\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n\r\n";
+  private static final String MALFORMED =
+      "HTTP/1.1 200 OK\r\nSignature: s\r\nOth er: x\r\nContent-Length: 3\r\n\r\nbad";
   private static final String EVENT = "7\r\nid: 1\n\n\r\n0\r\n\r\n";
 
   private final RoutingPlan plan =
@@ -159,7 +161,8 @@
   }
 
   @ParameterizedTest
-  @ValueSource(strings = {"", "HTTP/1.1 500 Broken\r\nSignature: s\r\nContent-Length: 0\r\n\r\n"})
+  @ValueSource(
+      strings = {"", "HTTP/1.1 500 Broken\r\nSignature: s\r\nContent-Length: 0\r\n\r\n", MALFORMED})
   void shouldLeaveCallToHedgeWhenFirstAttemptFailsLater(String response) throws IOException {
     CountDownLatch firstFails = new CountDownLatch(1);
     AtomicInteger marked = new AtomicInteger();
@@ -191,8 +194,9 @@
     awaitNothingInFlight();
   }
 
-  @Test
-  void shouldKeepFirstResponseWhenHedgeFails() throws IOException {
+  @ParameterizedTest
+  @ValueSource(strings = {"", MALFORMED})
+  void shouldKeepFirstResponseWhenHedgeFails(String response) throws IOException {
     AtomicInteger marked = new AtomicInteger();
     ScriptedEndpoint.Script script =
         (request, connection) -> {
@@ -201,9 +205,9 @@
             awaitRequests(marked, 2);
             LockSupport.parkNanos(Duration.ofMillis(100).toNanos());
           }
-          if (isFirst || !request.contains(SLOW_MARK)) {
-            ScriptedEndpoint.write(connection, signed(isFirst ? "first" : "quick"));
-          }
+          boolean isHedge = !isFirst && request.contains(SLOW_MARK);
+          ScriptedEndpoint.write(
+              connection, isHedge ? response : signed(isFirst ? "first" : "quick"));
           connection.close();
         };
     relay.setEndpoints("safe", ScriptedEndpoint.start(script), ScriptedEndpoint.start(script));
--- a/snipewick/src/test/java/org/snipewick/relay/ScriptedEndpoint.java
+++ b/snipewick/src/test/java/org/snipewick/relay/ScriptedEndpoint.java
@@ -12,7 +12,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 
 /** Endpoint that reads one request per connection and lets a script write the response. */
-final class ScriptedEndpoint implements AutoCloseable {
+public final class ScriptedEndpoint implements AutoCloseable {
   private final ServerSocket server;
   private final Script script;
   private final List<String> requests = new CopyOnWriteArrayList<>();
@@ -23,13 +23,15 @@
     this.script = script;
   }
 
-  /** Writes the response to a request; may close the connection. */
+  /** Responds to requests; may close their connections. */
   @FunctionalInterface
-  interface Script {
+  public interface Script {
+    /** Writes the response to a request. */
     void respond(String request, Socket connection) throws IOException;
   }
 
-  static ScriptedEndpoint start(Script script) {
+  /** Starts an endpoint on a free port of the loopback address. */
+  public static ScriptedEndpoint start(Script script) {
     try {
       ServerSocket server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
       ScriptedEndpoint endpoint = new ScriptedEndpoint(server, script);
@@ -41,14 +43,15 @@
   }
 
   /** Returns a script that writes the same response to each request and closes the connection. */
-  static Script closing(String bytes) {
+  public static Script closing(String bytes) {
     return (request, connection) -> {
       write(connection, bytes);
       connection.close();
     };
   }
 
-  int port() {
+  /** Returns the port on which the endpoint listens. */
+  public int port() {
     return server.getLocalPort();
   }
 
@@ -64,7 +67,8 @@
     return endings;
   }
 
-  static void write(Socket connection, String text) throws IOException {
+  /** Writes text as ISO 8859-1. */
+  public static void write(Socket connection, String text) throws IOException {
     connection.getOutputStream().write(text.getBytes(ISO_8859_1));
     connection.getOutputStream().flush();
   }
