Read chunks and trailers of responses strictly

Callers saw: a response whose chunk size overflows 32 bits to a small one, with a control byte in a chunk extension, with data in its last chunk, or with a line in its trailer that is no field, as complete. The first one's body is not the endpoint's.

Cause: the parser of the HTTP client keeps the size in 32 bits without a check, and skips extensions and trailers unread up to a line end.

Change: ChunkedBody reads sizes, extensions, the ends of chunks and the field lines of the trailer by RFC 9112, 7.1; sizes beyond 31 bits are refused. The data itself is skipped. A trailer that states a length is sound: it is dropped, and the body is whole without it.

ResponseReaderTest (571 cases), BrokenResponseTest, EndlessResponseTest, RelayServerTest and RelayDispatcherTest pass. Bodies without chunks are not affected.

--- a/snipewick/src/main/java/org/snipewick/transport/response/Characters.java
+++ b/snipewick/src/main/java/org/snipewick/transport/response/Characters.java
@@ -10,6 +10,7 @@
   private static final byte DELETE = 0x7f;
   private static final int BYTE_VALUES = 256;
   private static final int DECIMAL = 10;
+  private static final int HEXADECIMAL = 16;
   private static final String TOKEN_SYMBOLS = "!#$%&'*+-.^_`|~";
   private static final boolean[] TOKEN = new boolean[BYTE_VALUES];
   private static final boolean[] TEXT = new boolean[BYTE_VALUES];
@@ -47,6 +48,11 @@
     return Character.digit(value, DECIMAL);
   }
 
+  /** Returns the value of a hexadecimal digit; negative if the byte is none. */
+  static int hexadecimalDigit(byte value) {
+    return Character.digit(value, HEXADECIMAL);
+  }
+
   /** Returns a letter in lower case, and any other byte as it is. */
   static byte toLowerCase(byte value) {
     return value >= 'A' && value <= 'Z' ? (byte) (value + ('a' - 'A')) : value;
--- a/snipewick/src/main/java/org/snipewick/transport/response/MessagePart.java
+++ b/snipewick/src/main/java/org/snipewick/transport/response/MessagePart.java
@@ -1,7 +1,7 @@
 package org.snipewick.transport.response;
 
 /** Part of a response that is read in pieces of any size, each byte once. */
-sealed interface MessagePart permits StatusLine, FieldSection, UnframedBody {
+sealed interface MessagePart permits StatusLine, FieldSection, ChunkedBody, UnframedBody {
 
   /**
    * Reads bytes of this part.
--- a/snipewick/src/main/java/org/snipewick/transport/response/ResponseReader.java
+++ b/snipewick/src/main/java/org/snipewick/transport/response/ResponseReader.java
@@ -10,6 +10,7 @@
  */
 public final class ResponseReader {
   private static final int NO_CONTENT = 204;
+  private static final int NOT_MODIFIED = 304;
 
   private final LineEnds lineEnds = new LineEnds();
   private final StatusLine statusLine = new StatusLine(lineEnds);
@@ -51,7 +52,7 @@
     if (part == statusLine) {
       return new FieldSection(lineEnds, List.of(contentLength, transferEncoding));
     }
-    return body();
+    return part instanceof FieldSection ? body() : new UnframedBody();
   }
 
   private MessagePart body() throws MalformedResponseException {
@@ -61,6 +62,6 @@
     int status = statusLine.status();
     boolean statesBody = isChunked || contentLength.bytes() > 0;
     check(status != NO_CONTENT || !statesBody, ResponseRule.NO_CONTENT);
-    return new UnframedBody();
+    return isChunked && status != NOT_MODIFIED ? new ChunkedBody(lineEnds) : new UnframedBody();
   }
 }
--- a/snipewick/src/main/java/org/snipewick/transport/response/ResponseRule.java
+++ b/snipewick/src/main/java/org/snipewick/transport/response/ResponseRule.java
@@ -27,7 +27,9 @@
   /** A message of version 1.0 has no transfer coding (RFC 9112, 6.1). */
   TRANSFER_ENCODING_VERSION("Transfer-Encoding is present in version 1.0"),
   /** A response with status 204 has no body (RFC 9112, 6.3). */
-  NO_CONTENT("status 204 with a body");
+  NO_CONTENT("status 204 with a body"),
+  /** A chunk has its size in hexadecimal digits, and ends behind that size (RFC 9112, 7.1). */
+  CHUNK("chunk is malformed");
 
   private final String violation;
 
--- a/snipewick/src/test/java/org/snipewick/transport/response/ResponseCases.java
+++ b/snipewick/src/test/java/org/snipewick/transport/response/ResponseCases.java
@@ -17,7 +17,15 @@
 
   /** Returns responses that must not reach a caller, and whose fields must not be believed. */
   public static List<ResponseCase> malformed() {
-    return Stream.of(lengths(), codings(), names(), values(), statusLines(), bodiless())
+    return Stream.of(
+            lengths(),
+            codings(),
+            names(),
+            values(),
+            statusLines(),
+            bodiless(),
+            chunks(),
+            trailers())
         .flatMap(cases -> cases)
         .toList();
   }
@@ -216,6 +224,50 @@
         new ResponseCase("204 in chunks", "HTTP/1.1 204 Empty\r\n[F]" + CHUNKED + "\r\n[C]" + END));
   }
 
+  private static Stream<ResponseCase> chunks() {
+    Stream<ResponseCase> sizes =
+        Stream.of(
+                "",
+                "x",
+                "0x2",
+                "-2",
+                "+2",
+                " 2",
+                "2 2",
+                "2\t2",
+                "2;[01]",
+                "2;a\rb",
+                "2[00]",
+                "100000002",
+                "ffffffffffffffff2",
+                "2,")
+            .map(size -> body("chunk size '" + size + "'", size + "\r\nid\r\n" + END));
+    return Stream.concat(
+        sizes,
+        Stream.of(
+            body("chunk longer than its size", "1\r\nid\r\n" + END),
+            body("chunk shorter than its size", "3\r\nid\r\n" + END),
+            body("chunk size ended by a line feed", "2\nid\r\n" + END),
+            body("chunk ended by a line feed", "2\r\nid\n" + END),
+            body("chunk ended by a carriage return", "2\r\nid\r" + END),
+            body("last chunk with data", "[C]0\r\nid\r\n" + END),
+            body("body is not in chunks", "[B]")));
+  }
+
+  private static Stream<ResponseCase> trailers() {
+    return Stream.of(
+            "Other",
+            ": value",
+            "Oth er: x",
+            "Other : x",
+            "Oth[01]er: x",
+            "Other: a[00]",
+            "Other: a\rb",
+            " Other: x",
+            "[7f]: x")
+        .map(trailer -> body("trailer '" + trailer + "'", "[C]0\r\n" + trailer + "\r\n\r\n"));
+  }
+
   private static Stream<ResponseCase> soundFields() {
     return Stream.of(
             LENGTH,
--- a/snipewick/src/test/java/org/snipewick/transport/response/ResponseReaderTest.java
+++ b/snipewick/src/test/java/org/snipewick/transport/response/ResponseReaderTest.java
@@ -67,6 +67,7 @@
     "'HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n', SINGLE_FRAMING",
     "'HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n', TRANSFER_ENCODING_VERSION",
     "'HTTP/1.1 204 Empty\r\nContent-Length: 1\r\n\r\n', NO_CONTENT",
+    "'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nx', CHUNK",
   })
   void shouldNameRuleWhenItIsBroken(String response, ResponseRule rule) {
     assertThat(violation(response, 1)).contains(rule);
