Refuse responses whose length is contradicted by what follows them

Callers saw: a response whose length is spoilt to a smaller number, 2 instead of 14 or 0, as complete, with a part of the body or none.

Cause: the HTTP client ends a response at its stated length and drops what follows. RFC 9112, 9.2: such bytes make the end ambiguous.

Change: line ends, or another response, may follow the last byte; other bytes that arrive with it make the response malformed. Another response stays ignored, as RelayServerTest and BrokenResponseTest demand: its start confirms the length. 204 and 304 end with their head.

Not covered: bytes that arrive after the whole response was delivered. Endpoints that keep the connection open would make each response wait.

--- a/snipewick/src/main/java/org/snipewick/transport/response/MessagePart.java
+++ b/snipewick/src/main/java/org/snipewick/transport/response/MessagePart.java
@@ -1,7 +1,8 @@
 package org.snipewick.transport.response;
 
 /** Part of a response that is read in pieces of any size, each byte once. */
-sealed interface MessagePart permits StatusLine, FieldSection, ChunkedBody, UnframedBody {
+sealed interface MessagePart
+    permits StatusLine, FieldSection, LengthBody, ChunkedBody, UnframedBody, MessageEnd {
 
   /**
    * Reads bytes of this part.
--- a/snipewick/src/main/java/org/snipewick/transport/response/ResponseReader.java
+++ b/snipewick/src/main/java/org/snipewick/transport/response/ResponseReader.java
@@ -52,7 +52,7 @@
     if (part == statusLine) {
       return new FieldSection(lineEnds, List.of(contentLength, transferEncoding));
     }
-    return part instanceof FieldSection ? body() : new UnframedBody();
+    return part instanceof FieldSection ? body() : new MessageEnd();
   }
 
   private MessagePart body() throws MalformedResponseException {
@@ -60,8 +60,18 @@
     check(!isChunked || !contentLength.isPresent(), ResponseRule.SINGLE_FRAMING);
     check(!isChunked || statusLine.minorVersion() > 0, ResponseRule.TRANSFER_ENCODING_VERSION);
     int status = statusLine.status();
+    boolean mayHaveBody = status != NO_CONTENT && status != NOT_MODIFIED;
     boolean statesBody = isChunked || contentLength.bytes() > 0;
     check(status != NO_CONTENT || !statesBody, ResponseRule.NO_CONTENT);
-    return isChunked && status != NOT_MODIFIED ? new ChunkedBody(lineEnds) : new UnframedBody();
+    if (!mayHaveBody) {
+      return new MessageEnd();
+    }
+    if (isChunked) {
+      return new ChunkedBody(lineEnds);
+    }
+    if (statesBody) {
+      return new LengthBody(contentLength.bytes());
+    }
+    return contentLength.isPresent() ? new MessageEnd() : new UnframedBody();
   }
 }
--- a/snipewick/src/main/java/org/snipewick/transport/response/ResponseRule.java
+++ b/snipewick/src/main/java/org/snipewick/transport/response/ResponseRule.java
@@ -29,7 +29,9 @@
   /** A response with status 204 has no body (RFC 9112, 6.3). */
   NO_CONTENT("status 204 with a body"),
   /** A chunk has its size in hexadecimal digits, and ends behind that size (RFC 9112, 7.1). */
-  CHUNK("chunk is malformed");
+  CHUNK("chunk is malformed"),
+  /** Bytes behind a response show that its length is wrong (RFC 9112, 9.2). */
+  END_OF_RESPONSE("bytes follow the end of the response");
 
   private final String violation;
 
--- a/snipewick/src/main/java/org/snipewick/transport/response/UnframedBody.java
+++ b/snipewick/src/main/java/org/snipewick/transport/response/UnframedBody.java
@@ -1,6 +1,6 @@
 package org.snipewick.transport.response;
 
-/** Body whose end is found by the HTTP client alone. */
+/** Body that ends with its connection. */
 final class UnframedBody implements MessagePart {
 
   @Override
--- a/snipewick/src/test/java/org/snipewick/transport/response/ResponseCases.java
+++ b/snipewick/src/test/java/org/snipewick/transport/response/ResponseCases.java
@@ -25,7 +25,8 @@
             statusLines(),
             bodiless(),
             chunks(),
-            trailers())
+            trailers(),
+            ends())
         .flatMap(cases -> cases)
         .toList();
   }
@@ -268,6 +269,16 @@
         .map(trailer -> body("trailer '" + trailer + "'", "[C]0\r\n" + trailer + "\r\n\r\n"));
   }
 
+  private static Stream<ResponseCase> ends() {
+    return Stream.of(
+        head("length 0 before a body", "Content-Length: 0\r\n"),
+        head("length shorter than the body", "Content-Length: 2\r\n"),
+        new ResponseCase("204 before bytes", "HTTP/1.1 204 Empty\r\n[F]\r\n[B]"),
+        new ResponseCase("bytes behind the length", OK + LENGTH + "\r\n[B]x"),
+        new ResponseCase("bytes behind the chunks", OK + CHUNKED + "\r\n[C]" + END + "x"),
+        new ResponseCase("chunks behind chunks", OK + CHUNKED + "\r\n[C]" + END + "[C]" + END));
+  }
+
   private static Stream<ResponseCase> soundFields() {
     return Stream.of(
             LENGTH,
--- a/snipewick/src/test/java/org/snipewick/transport/response/ResponseReaderTest.java
+++ b/snipewick/src/test/java/org/snipewick/transport/response/ResponseReaderTest.java
@@ -5,6 +5,7 @@
 
 import java.util.Optional;
 import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -68,6 +69,7 @@
     "'HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n', TRANSFER_ENCODING_VERSION",
     "'HTTP/1.1 204 Empty\r\nContent-Length: 1\r\n\r\n', NO_CONTENT",
     "'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nx', CHUNK",
+    "'HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nab', END_OF_RESPONSE",
   })
   void shouldNameRuleWhenItIsBroken(String response, ResponseRule rule) {
     assertThat(violation(response, 1)).contains(rule);
@@ -85,6 +87,15 @@
     String head = "HTTP/1.1 " + status + " Reason\r\n" + fields + "\r\n";
 
     assertThat(violation(head, 1)).isEmpty();
+    assertThat(violation(head + "x", 1)).contains(ResponseRule.END_OF_RESPONSE);
+  }
+
+  @Test
+  void shouldIgnoreAnotherResponseWhenConnectionIsNotReused() {
+    String refusal = "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n";
+
+    assertThat(violation(refusal + refusal, 1)).isEmpty();
+    assertThat(violation(refusal + "HTTP/2", 1)).contains(ResponseRule.END_OF_RESPONSE);
   }
 
   private static Optional<ResponseRule> violation(String response, int pieceBytes) {
