Read responses of engines and services with the client of the relay

Callers of the entry process saw: status 2000 as a complete 200; chunk sizes in a body whose coding is not chunked; an empty length as an empty body; a control byte in Content-Type passed on, and a CR in it, with which an endpoint writes a field of its own into our response; 204 with a body. After an interim response they got no answer.

Cause: HttpExchanges had an HTTP client of its own, without the check of the status line, and with the same lenient parser as the relay.

Change: HttpExchanges sends by HttpTransport, whose ResponseReader checks each response; TransportSettings holds what differs between the clients. The limits of this client stay as they were: 2 s to connect, 11 minutes for a request, bodies bounded by its callers.

--- a/snipewick/src/main/java/org/snipewick/endpoint/http/HttpEngineClient.java
+++ b/snipewick/src/main/java/org/snipewick/endpoint/http/HttpEngineClient.java
@@ -82,7 +82,7 @@
 
   private Promise<EndpointResponse> callOnEventLoop(EngineCall call) {
     HttpRequest request = completionRequest(call);
-    HttpExchange exchange = addExchange(call, request);
+    HttpExchange exchange = addExchange(call);
     return exchanges
         .send(request, exchange)
         .then(
@@ -94,7 +94,7 @@
   private Promise<Optional<EndpointResponse>> streamOnEventLoop(
       EngineCall call, EventReceiver receiver) {
     HttpRequest request = completionRequest(call);
-    HttpExchange exchange = addExchange(call, request);
+    HttpExchange exchange = addExchange(call);
     return exchanges
         .send(request, exchange)
         .then(response -> readStream(response, exchange, call, receiver))
@@ -105,7 +105,7 @@
       EngineCall call, int receivedEvents, EventReceiver receiver) {
     String path = REQUESTS_PATH + call.dispatchId() + "/stream?after=" + receivedEvents;
     HttpRequest request = HttpRequest.get(HttpExchanges.url(call.endpoint(), path));
-    HttpExchange exchange = addExchange(call, request);
+    HttpExchange exchange = addExchange(call);
     return exchanges
         .send(request, exchange)
         .then(response -> readResumed(response, exchange, call, receiver))
@@ -207,12 +207,12 @@
     String url = HttpExchanges.url(call.endpoint(), REQUESTS_PATH + call.dispatchId());
     HttpRequest request = HttpRequest.of(HttpMethod.DELETE, url);
     exchanges
-        .send(request, HttpExchange.attachedTo(request))
+        .send(request, new HttpExchange())
         .whenResult(response -> response.takeBodyStream().close());
   }
 
-  private HttpExchange addExchange(EngineCall call, HttpRequest request) {
-    HttpExchange exchange = HttpExchange.attachedTo(request);
+  private HttpExchange addExchange(EngineCall call) {
+    HttpExchange exchange = new HttpExchange();
     openExchanges.put(call.dispatchId(), exchange);
     return exchange;
   }
--- a/snipewick/src/main/java/org/snipewick/endpoint/http/HttpExchange.java
+++ b/snipewick/src/main/java/org/snipewick/endpoint/http/HttpExchange.java
@@ -4,33 +4,26 @@
 import io.activej.bytebuf.ByteBuf;
 import io.activej.csp.ChannelSupplier;
 import io.activej.http.HttpHeaders;
-import io.activej.http.HttpRequest;
 import io.activej.http.HttpResponse;
 import org.snipewick.endpoint.EndpointResponse;
 import org.snipewick.failure.Failure;
 import org.snipewick.failure.FailureType;
+import org.snipewick.transport.Exchange;
 
 /** State of one request to an endpoint. Used on one event loop only. */
 final class HttpExchange {
   private static final String DEFAULT_CONTENT_TYPE = "application/octet-stream";
   private static final int SERVICE_UNAVAILABLE = 503;
 
-  private boolean connected;
+  private final Exchange exchange = Exchange.of();
   private boolean cancelled;
   private ChannelSupplier<ByteBuf> body;
 
-  /** Returns a new exchange that is attached to a request. */
-  static HttpExchange attachedTo(HttpRequest request) {
-    HttpExchange exchange = new HttpExchange();
-    request.attach(HttpExchange.class, exchange);
+  /** Returns the exchange of the connection. */
+  Exchange transportExchange() {
     return exchange;
   }
 
-  /** Records that a connection was made, so that from now on the request may have been sent. */
-  void markConnected() {
-    connected = true;
-  }
-
   /** Returns whether the exchange was cancelled. */
   boolean isCancelled() {
     return cancelled;
@@ -58,7 +51,7 @@
    * was made, as the request may have been sent.
    */
   Failure toFailure(Exception thrown) {
-    return connected
+    return exchange.mayHaveBeenSent()
         ? Failure.unknown(
             FailureType.ANSWER_INCOMPLETE, "connection failed during the exchange: " + thrown)
         : Failure.notRun(FailureType.ENDPOINT_REFUSED, "cannot connect to endpoint: " + thrown);
--- a/snipewick/src/main/java/org/snipewick/endpoint/http/HttpExchanges.java
+++ b/snipewick/src/main/java/org/snipewick/endpoint/http/HttpExchanges.java
@@ -3,14 +3,10 @@
 import static java.util.Objects.requireNonNull;
 
 import io.activej.bytebuf.ByteBuf;
-import io.activej.dns.protocol.DnsResponse;
 import io.activej.eventloop.Eventloop;
-import io.activej.http.AsyncHttpClient;
-import io.activej.http.HttpClientConnection;
 import io.activej.http.HttpRequest;
 import io.activej.http.HttpResponse;
 import io.activej.promise.Promise;
-import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
@@ -21,32 +17,26 @@
 import org.snipewick.failure.NotRunStatus;
 import org.snipewick.identity.RequestId;
 import org.snipewick.pool.EndpointStatus;
+import org.snipewick.transport.HttpTransport;
+import org.snipewick.transport.TransportSettings;
 
 /** HTTP exchanges with endpoints on one event loop. Each exchange uses a separate connection. */
 final class HttpExchanges {
   private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
 
-  /** Exceeds the longest timeout of a request, 10 minutes. */
-  private static final Duration READ_WRITE_TIMEOUT = Duration.ofMinutes(11);
-
   private final Eventloop eventloop;
-  private final AsyncHttpClient client;
+  private final HttpTransport transport;
 
-  private HttpExchanges(Eventloop eventloop, AsyncHttpClient client) {
+  private HttpExchanges(Eventloop eventloop, HttpTransport transport) {
     this.eventloop = eventloop;
-    this.client = client;
+    this.transport = transport;
   }
 
   /** Returns exchanges that run on an event loop. */
   static HttpExchanges of(Eventloop eventloop) {
     requireNonNull(eventloop, "eventloop");
-    AsyncHttpClient client =
-        AsyncHttpClient.create(eventloop)
-            .withNoKeepAlive()
-            .withConnectTimeout(CONNECT_TIMEOUT)
-            .withReadWriteTimeout(READ_WRITE_TIMEOUT)
-            .withInspector(new ConnectionInspector());
-    return new HttpExchanges(eventloop, client);
+    return new HttpExchanges(
+        eventloop, HttpTransport.of(eventloop, TransportSettings.of(CONNECT_TIMEOUT)));
   }
 
   /** Returns the event loop of all connections. */
@@ -64,8 +54,8 @@
    * response is received. Must be called on the event loop.
    */
   Promise<HttpResponse> send(HttpRequest request, HttpExchange exchange) {
-    return client
-        .request(request)
+    return transport
+        .send(request, exchange.transportExchange())
         .then(
             HttpExchanges::failIfRejected,
             thrown -> Promise.ofException(exchange.toFailure(thrown).toException()));
@@ -166,42 +156,4 @@
                 .toException())
         : Promise.of(response);
   }
-
-  /** Marks the exchanges for which a connection was made. */
-  private static final class ConnectionInspector implements AsyncHttpClient.Inspector {
-
-    @Override
-    public void onConnect(HttpRequest request, HttpClientConnection connection) {
-      HttpExchange exchange = request.getAttachment(HttpExchange.class);
-      if (exchange != null) {
-        exchange.markConnected();
-      }
-    }
-
-    @Override
-    public void onRequest(HttpRequest request) {}
-
-    @Override
-    public void onResolve(HttpRequest request, DnsResponse response) {}
-
-    @Override
-    public void onResolveError(HttpRequest request, Exception thrown) {}
-
-    @Override
-    public void onConnectError(HttpRequest request, InetSocketAddress address, Exception thrown) {}
-
-    @Override
-    public void onHttpResponse(HttpResponse response) {}
-
-    @Override
-    public void onHttpError(HttpClientConnection connection, Exception thrown) {}
-
-    @Override
-    public void onDisconnect(HttpClientConnection connection) {}
-
-    @Override
-    public <T extends AsyncHttpClient.Inspector> T lookup(Class<T> type) {
-      return type.isInstance(this) ? type.cast(this) : null;
-    }
-  }
 }
--- a/snipewick/src/main/java/org/snipewick/endpoint/http/HttpServiceClient.java
+++ b/snipewick/src/main/java/org/snipewick/endpoint/http/HttpServiceClient.java
@@ -38,7 +38,7 @@
 
   private Promise<EndpointResponse> callOnEventLoop(ServiceCall call) {
     HttpRequest request = request(call);
-    HttpExchange exchange = HttpExchange.attachedTo(request);
+    HttpExchange exchange = new HttpExchange();
     return exchanges
         .send(request, exchange)
         .then(
--- a/snipewick/src/main/java/org/snipewick/transport/HttpTransport.java
+++ b/snipewick/src/main/java/org/snipewick/transport/HttpTransport.java
@@ -24,18 +24,15 @@
  * endpoint closes while it is idle.
  */
 public final class HttpTransport {
-  /** Longer than any request; requests are cancelled earlier by the timers of their senders. */
-  private static final Duration READ_WRITE_TIMEOUT = Duration.ofMinutes(11);
-
   private final AsyncHttpClient client;
 
-  private HttpTransport(Eventloop eventloop, Duration connectTimeout, int maxBodyBytes) {
+  private HttpTransport(Eventloop eventloop, TransportSettings settings) {
     client =
         AsyncHttpClient.create(eventloop)
             .withNoKeepAlive()
-            .withConnectTimeout(connectTimeout)
-            .withReadWriteTimeout(READ_WRITE_TIMEOUT)
-            .withMaxBodySize(MemSize.of(maxBodyBytes))
+            .withConnectTimeout(settings.connectTimeout())
+            .withReadWriteTimeout(settings.readWriteTimeout())
+            .withMaxBodySize(MemSize.of(settings.maxBodyBytes()))
             .withInspector(new ConnectionInspector());
   }
 
@@ -43,13 +40,24 @@
    * Creates a client.
    *
    * @param eventloop event loop that runs its connections
+   * @param settings limits of the client
+   * @return client
+   */
+  public static HttpTransport of(Eventloop eventloop, TransportSettings settings) {
+    requireNonNull(eventloop, "eventloop");
+    return new HttpTransport(eventloop, requireNonNull(settings, "settings"));
+  }
+
+  /**
+   * Creates a client with a connection for each request.
+   *
+   * @param eventloop event loop that runs its connections
    * @param connectTimeout maximum time to establish a connection
    * @param maxBodyBytes maximum size of a response body, in bytes
    * @return client
    */
   public static HttpTransport of(Eventloop eventloop, Duration connectTimeout, int maxBodyBytes) {
-    requireNonNull(eventloop, "eventloop");
-    return new HttpTransport(eventloop, connectTimeout, maxBodyBytes);
+    return of(eventloop, TransportSettings.of(connectTimeout).withMaxBodyBytes(maxBodyBytes));
   }
 
   /**
