Read load reports with the client of the relay

Operators would see: an endpoint placed by a load report that is not the one it sent, from a response with status 2000, odd fields or a wrong length. Shown by tests; not reported.

Cause: HttpLoadReportClient had an HTTP client of its own, with the lenient parser alone. It keeps connections, so that a second copy of a report that arrives unasked could be read as the answer to the next request.

Change: HttpTransport keeps connections if its settings say so. Its reader expects another response when another request is written, and refuses any that arrives before. What follows the end of a response is no longer passed to the HTTP client: on a kept connection, line ends behind a report made the next one unreadable.

--- a/snipewick/src/main/java/org/snipewick/endpoint/http/HttpLoadReportClient.java
+++ b/snipewick/src/main/java/org/snipewick/endpoint/http/HttpLoadReportClient.java
@@ -5,7 +5,6 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.activej.bytebuf.ByteBuf;
 import io.activej.eventloop.Eventloop;
-import io.activej.http.AsyncHttpClient;
 import io.activej.http.HttpRequest;
 import io.activej.http.HttpResponse;
 import io.activej.promise.Promise;
@@ -17,6 +16,8 @@
 import org.snipewick.failure.Failure;
 import org.snipewick.failure.FailureType;
 import org.snipewick.pool.EndpointStatus;
+import org.snipewick.transport.HttpTransport;
+import org.snipewick.transport.TransportSettings;
 
 /** Client that reads load reports over HTTP, on keep-alive connections. Thread-safe. */
 public final class HttpLoadReportClient implements LoadReportClient {
@@ -27,11 +28,11 @@
   private static final Duration IO_TIMEOUT = Duration.ofSeconds(2);
 
   private final Eventloop eventloop;
-  private final AsyncHttpClient client;
+  private final HttpTransport transport;
 
-  private HttpLoadReportClient(Eventloop eventloop, AsyncHttpClient client) {
+  private HttpLoadReportClient(Eventloop eventloop, HttpTransport transport) {
     this.eventloop = eventloop;
-    this.client = client;
+    this.transport = transport;
   }
 
   /**
@@ -42,12 +43,12 @@
    */
   public static HttpLoadReportClient of(Eventloop eventloop) {
     requireNonNull(eventloop, "eventloop");
-    AsyncHttpClient client =
-        AsyncHttpClient.create(eventloop)
-            .withKeepAliveTimeout(KEEP_ALIVE_TIMEOUT)
-            .withConnectTimeout(IO_TIMEOUT)
-            .withReadWriteTimeout(IO_TIMEOUT);
-    return new HttpLoadReportClient(eventloop, client);
+    TransportSettings settings =
+        TransportSettings.of(IO_TIMEOUT)
+            .withReadWriteTimeout(IO_TIMEOUT)
+            .withMaxBodyBytes(MAX_REPORT_BYTES)
+            .withKeepAlive(KEEP_ALIVE_TIMEOUT);
+    return new HttpLoadReportClient(eventloop, HttpTransport.of(eventloop, settings));
   }
 
   @Override
@@ -59,8 +60,8 @@
   }
 
   private Promise<LoadReport> readOnEventLoop(EndpointStatus endpoint) {
-    return client
-        .request(HttpRequest.get(HttpExchanges.url(endpoint, LOAD_PATH)))
+    return transport
+        .send(HttpRequest.get(HttpExchanges.url(endpoint, LOAD_PATH)))
         .then(HttpLoadReportClient::loadBody)
         .map(HttpLoadReportClient::parse)
         .mapException(
--- a/snipewick/src/main/java/org/snipewick/transport/HttpTransport.java
+++ b/snipewick/src/main/java/org/snipewick/transport/HttpTransport.java
@@ -19,21 +19,23 @@
 
 /**
  * HTTP client on one event loop. All that it receives is checked before it is read ({@link
- * ResponseReader}). Each request uses its own connection, so that a late or duplicated response is
- * never taken for the response to another request, and no request is lost on a connection that the
- * endpoint closes while it is idle.
+ * ResponseReader}). Unless the settings keep connections for further requests, each request uses
+ * its own, so that a late or duplicated response is never taken for the response to another
+ * request, and no request is lost on a connection that the endpoint closes while it is idle.
  */
 public final class HttpTransport {
   private final AsyncHttpClient client;
+  private final boolean keepsConnections;
 
   private HttpTransport(Eventloop eventloop, TransportSettings settings) {
+    keepsConnections = settings.keepAlive().isPresent();
     client =
         AsyncHttpClient.create(eventloop)
-            .withNoKeepAlive()
             .withConnectTimeout(settings.connectTimeout())
             .withReadWriteTimeout(settings.readWriteTimeout())
             .withMaxBodySize(MemSize.of(settings.maxBodyBytes()))
-            .withInspector(new ConnectionInspector());
+            .withInspector(new ConnectionInspector(keepsConnections));
+    settings.keepAlive().ifPresentOrElse(client::withKeepAliveTimeout, client::withNoKeepAlive);
   }
 
   /**
@@ -60,6 +62,17 @@
     return of(eventloop, TransportSettings.of(connectTimeout).withMaxBodyBytes(maxBodyBytes));
   }
 
+  /**
+   * Sends a request that is not cancelled. To be called on the event loop.
+   *
+   * @param request request to send
+   * @return promise that completes with the response when its headers have arrived, or fails if no
+   *     connection is established, it breaks before, or what has arrived is not a response
+   */
+  public Promise<HttpResponse> send(HttpRequest request) {
+    return client.request(request);
+  }
+
   /**
    * Sends a request. To be called on the event loop.
    *
@@ -68,9 +81,13 @@
    * @return promise that completes with the response when its headers have arrived, or fails if no
    *     connection is established, it breaks before, or with a {@link MalformedResponseException}
    *     if what has arrived is not a response
+   * @throws IllegalStateException if connections are kept for further requests
    */
   public Promise<HttpResponse> send(HttpRequest request, Exchange exchange) {
     requireNonNull(exchange, "exchange");
+    if (keepsConnections) {
+      throw new IllegalStateException("exchange needs a connection of its own");
+    }
     request.attach(Exchange.class, exchange);
     return client
         .request(request)
@@ -79,12 +96,15 @@
   }
 
   /** Prepares each connection before anything is written to it. */
-  private static final class ConnectionInspector implements AsyncHttpClient.Inspector {
+  private record ConnectionInspector(boolean keepsConnections)
+      implements AsyncHttpClient.Inspector {
 
     @Override
     public void onConnect(HttpRequest request, HttpClientConnection connection) {
       AsyncTcpSocket socket = ConnectionSockets.of(connection);
-      ResponseInspector inspector = new ResponseInspector(ResponseReader.ofOneResponse());
+      ResponseInspector inspector =
+          new ResponseInspector(
+              keepsConnections ? ResponseReader.ofManyResponses() : ResponseReader.ofOneResponse());
       ((AsyncTcpSocketNio) socket).setInspector(inspector);
       Exchange exchange = request.getAttachment(Exchange.class);
       if (exchange != null) {
--- a/snipewick/src/main/java/org/snipewick/transport/ResponseInspector.java
+++ b/snipewick/src/main/java/org/snipewick/transport/ResponseInspector.java
@@ -11,8 +11,9 @@
 import org.snipewick.transport.response.ResponseReader;
 
 /**
- * Checks what arrives on one connection before the HTTP client reads it. From a malformed response
- * on, the client receives nothing, and the connection is closed.
+ * Checks what arrives on one connection before the HTTP client reads it. The client receives
+ * nothing that follows the end of a response, and nothing from a malformed response on, whose
+ * connection is closed.
  */
 final class ResponseInspector implements AsyncTcpSocketNio.Inspector {
   private final ResponseReader reader;
@@ -31,7 +32,7 @@
   public void onRead(AsyncTcpSocketNio socket, ByteBuf received) {
     if (violation.isEmpty()) {
       try {
-        reader.read(received.array(), received.head(), received.tail());
+        received.tail(reader.read(received.array(), received.head(), received.tail()));
         return;
       } catch (MalformedResponseException malformed) {
         violation = Optional.of(malformed);
@@ -43,7 +44,9 @@
   }
 
   @Override
-  public void onWrite(AsyncTcpSocketNio socket, ByteBuf sent, int bytes) {}
+  public void onWrite(AsyncTcpSocketNio socket, ByteBuf sent, int bytes) {
+    reader.requestSent();
+  }
 
   @Override
   public void onConnect(AsyncTcpSocketNio socket) {}
--- a/snipewick/src/test/java/org/snipewick/transport/response/ResponseReaderTest.java
+++ b/snipewick/src/test/java/org/snipewick/transport/response/ResponseReaderTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class ResponseReaderTest {
   private static final String BODY = "id: 1\n\nid: 2\n\n";
@@ -90,6 +91,30 @@
     assertThat(violation(head + "x", 1)).contains(ResponseRule.END_OF_RESPONSE);
   }
 
+  @Test
+  void shouldAcceptAnotherResponseOnlyAfterAnotherRequestWhenConnectionIsReused() throws Exception {
+    byte[] response = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi".getBytes(ISO_8859_1);
+    ResponseReader reader = ResponseReader.ofManyResponses();
+    reader.requestSent();
+    reader.read(response, 0, response.length);
+    reader.requestSent();
+    reader.read(response, 0, response.length);
+
+    assertThat(violation(reader, response)).contains(ResponseRule.END_OF_RESPONSE);
+  }
+
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void shouldReturnEndOfResponseWhenLineEndsFollow(boolean isConnectionReused) throws Exception {
+    String response = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi";
+    byte[] bytes = (response + "\r\n\r\n").getBytes(ISO_8859_1);
+    ResponseReader reader =
+        isConnectionReused ? ResponseReader.ofManyResponses() : ResponseReader.ofOneResponse();
+
+    assertThat(reader.read(bytes, 0, bytes.length)).isEqualTo(response.length());
+    assertThat(reader.read(bytes, bytes.length - 2, bytes.length)).isEqualTo(bytes.length - 2);
+  }
+
   @Test
   void shouldIgnoreAnotherResponseWhenConnectionIsNotReused() {
     String refusal = "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n";
