Read responses to orders with the client of the relay

Operators would see: an order to an endpoint that counts as done after a response with status 2000 or any other malformed one, or as refused for its fencing number after a 409 with a spoilt head. Shown by tests; not reported.

Cause: HttpOrderSender had an HTTP client of its own, with the lenient parser alone, and reads nothing but the status.

Change: it sends by HttpTransport. After a malformed response the outcome of the order is unknown. The body is still not read: what arrives after the head has no influence.

--- a/snipewick/src/main/java/org/snipewick/lease/http/HttpOrderSender.java
+++ b/snipewick/src/main/java/org/snipewick/lease/http/HttpOrderSender.java
@@ -8,7 +8,6 @@
 import io.activej.csp.ChannelSupplier;
 import io.activej.csp.ChannelSuppliers;
 import io.activej.eventloop.Eventloop;
-import io.activej.http.AsyncHttpClient;
 import io.activej.http.ContentType;
 import io.activej.http.HttpHeaderValue;
 import io.activej.http.HttpHeaders;
@@ -27,6 +26,8 @@
 import org.snipewick.lease.Lease;
 import org.snipewick.lease.OrderSender;
 import org.snipewick.pool.EndpointStatus;
+import org.snipewick.transport.HttpTransport;
+import org.snipewick.transport.TransportSettings;
 
 /** Sends orders to endpoints by {@code POST /orders}. Thread-safe. */
 public final class HttpOrderSender implements OrderSender {
@@ -37,11 +38,11 @@
   private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
 
   private final Eventloop eventloop;
-  private final AsyncHttpClient client;
+  private final HttpTransport transport;
 
-  private HttpOrderSender(Eventloop eventloop, AsyncHttpClient client) {
+  private HttpOrderSender(Eventloop eventloop, HttpTransport transport) {
     this.eventloop = eventloop;
-    this.client = client;
+    this.transport = transport;
   }
 
   /**
@@ -52,9 +53,8 @@
    */
   public static HttpOrderSender of(Eventloop eventloop) {
     requireNonNull(eventloop, "eventloop");
-    AsyncHttpClient client =
-        AsyncHttpClient.create(eventloop).withNoKeepAlive().withConnectTimeout(CONNECT_TIMEOUT);
-    return new HttpOrderSender(eventloop, client);
+    return new HttpOrderSender(
+        eventloop, HttpTransport.of(eventloop, TransportSettings.of(CONNECT_TIMEOUT)));
   }
 
   @Override
@@ -65,7 +65,7 @@
     CompletableFuture<Void> result = new CompletableFuture<>();
     eventloop.execute(
         () ->
-            Promises.timeout(timeout, client.request(request(url, body, lease)))
+            Promises.timeout(timeout, transport.send(request(url, body, lease)))
                 .run(
                     (response, thrown) -> {
                       Optional<Failure> failure =
