Read responses to operators' commands with the client of the relay

Operators would see: a command that succeeds, or prints a document, after a malformed response, for example with status 2000, with a length of 0 beside chunks, or with a control byte in the coding. Shown by tests; not reported.

Cause: a client of its own, with another lenient parser.

Change: OperatorClient sends by HttpTransport on an event loop of its own and waits for the response. Names of hosts are resolved before, as the event loop resolves none; Host is then the numeric address. A token with a control character is reported; before it ended the command with a stack trace.

--- a/snipewick/src/main/java/org/snipewick/cli/OperatorClient.java
+++ b/snipewick/src/main/java/org/snipewick/cli/OperatorClient.java
@@ -1,26 +1,35 @@
 package org.snipewick.cli;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
 import static java.util.Objects.requireNonNull;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.MissingNode;
+import io.activej.eventloop.Eventloop;
+import io.activej.http.HttpHeaders;
+import io.activej.http.HttpMethod;
+import io.activej.http.HttpRequest;
+import io.activej.http.HttpResponse;
+import io.activej.promise.Promise;
+import io.activej.promise.Promises;
 import java.io.IOException;
-import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
-import java.net.http.HttpRequest.BodyPublishers;
-import java.net.http.HttpResponse;
-import java.net.http.HttpResponse.BodyHandlers;
+import java.net.Inet6Address;
+import java.net.InetAddress;
 import java.time.Duration;
 import java.util.Locale;
-
-/** HTTP client of the administrative API of an instance. */
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
+import org.snipewick.transport.EventloopTimerService;
+import org.snipewick.transport.Exchange;
+import org.snipewick.transport.HttpTransport;
+import org.snipewick.transport.TransportSettings;
+
+/** HTTP client of the administrative API of an instance. Waits for each response. */
 final class OperatorClient {
   private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
   private static final ObjectMapper MAPPER = new ObjectMapper();
 
-  private final HttpClient client = HttpClient.newBuilder().connectTimeout(CONNECT_TIMEOUT).build();
   private final String address;
   private final String token;
   private final Duration timeout;
@@ -39,38 +48,75 @@
   }
 
   Response get(String path) {
-    return send(request(path).GET().build());
+    return send(HttpMethod.GET, path, request -> {});
   }
 
   Response post(String path, JsonNode body) {
-    return send(request(path).POST(BodyPublishers.ofString(body.toString())).build());
+    return send(HttpMethod.POST, path, request -> request.setBody(bytes(body)));
   }
 
   Response post(String path, JsonNode body, long version) {
     return send(
-        request(path)
-            .header("If-Match", '"' + Long.toString(version) + '"')
-            .POST(BodyPublishers.ofString(body.toString()))
-            .build());
+        HttpMethod.POST,
+        path,
+        request -> {
+          request.addHeader(HttpHeaders.IF_MATCH, '"' + Long.toString(version) + '"');
+          request.setBody(bytes(body));
+        });
   }
 
-  private HttpRequest.Builder request(String path) {
-    return HttpRequest.newBuilder(URI.create("http://" + address + path))
-        .timeout(timeout)
-        .header("Content-Type", "application/json")
-        .header("Authorization", "Bearer " + token);
+  private static byte[] bytes(JsonNode body) {
+    return body.toString().getBytes(UTF_8);
   }
 
-  private Response send(HttpRequest request) {
+  private Response send(HttpMethod method, String path, Consumer<HttpRequest> content) {
+    Eventloop eventloop = EventloopTimerService.monotonicEventloop().withCurrentThread();
+    HttpTransport transport = HttpTransport.of(eventloop, TransportSettings.of(CONNECT_TIMEOUT));
+    AtomicReference<Response> received = new AtomicReference<>();
     try {
-      HttpResponse<String> httpResponse = client.send(request, BodyHandlers.ofString());
-      return new Response.Received(httpResponse.statusCode(), parse(httpResponse.body()));
+      HttpRequest request =
+          HttpRequest.of(method, "http://" + resolvedAddress() + path)
+              .withHeader(HttpHeaders.CONTENT_TYPE, "application/json")
+              .withHeader(HttpHeaders.AUTHORIZATION, "Bearer " + checkedToken());
+      content.accept(request);
+      Exchange exchange = Exchange.of();
+      Promises.timeout(timeout, transport.send(request, exchange).then(OperatorClient::read))
+          .run(
+              (response, thrown) -> {
+                received.set(thrown == null ? response : notReceived(thrown));
+                exchange.cancel();
+              });
+      eventloop.run();
+      return received.get();
     } catch (IOException | IllegalArgumentException failure) {
-      return new Response.NotReceived(address + ": " + failure);
-    } catch (InterruptedException failure) {
-      Thread.currentThread().interrupt();
-      return new Response.NotReceived(address + ": interrupted");
+      return notReceived(failure);
+    }
+  }
+
+  private static Promise<Response> read(HttpResponse response) {
+    return response
+        .loadBody()
+        .map(body -> new Response.Received(response.getCode(), parse(body.asString(UTF_8))));
+  }
+
+  private Response notReceived(Exception failure) {
+    return new Response.NotReceived(address + ": " + failure);
+  }
+
+  /** Returns the address with a numeric host, as the event loop does not resolve names. */
+  private String resolvedAddress() throws IOException {
+    int colon = address.lastIndexOf(':');
+    InetAddress host = InetAddress.getByName(address.substring(0, colon));
+    String numeric = host.getHostAddress();
+    return (host instanceof Inet6Address ? "[" + numeric + "]" : numeric)
+        + address.substring(colon);
+  }
+
+  private String checkedToken() {
+    if (token.chars().anyMatch(Character::isISOControl)) {
+      throw new IllegalArgumentException("token has a control character");
     }
+    return token;
   }
 
   private static JsonNode parse(String body) throws IOException {
--- a/snipewick/src/test/java/org/snipewick/relay/ScriptedEndpoint.java
+++ b/snipewick/src/test/java/org/snipewick/relay/ScriptedEndpoint.java
@@ -55,7 +55,8 @@
     return server.getLocalPort();
   }
 
-  List<String> requests() {
+  /** Returns the requests that were read so far, with their bodies. */
+  public List<String> requests() {
     return requests;
   }
 
