Measure the HTTP client that receives responses

Why: the strict reader looks at each byte of a head, and no measurement showed what that costs. ./run-bench responses runs the client of the relay on one thread against a server in its own process, for responses with a length and in chunks.

--- a/bench/src/main/java/org/snipewick/bench/Main.java
+++ b/bench/src/main/java/org/snipewick/bench/Main.java
@@ -8,6 +8,7 @@
 import org.snipewick.bench.cluster.ClassArchives;
 import org.snipewick.bench.cost.CostBench;
 import org.snipewick.bench.policy.PolicyBench;
+import org.snipewick.bench.response.ResponseBench;
 import org.snipewick.bench.soak.Soak;
 
 /** Command line of {@code run-bench}, with one command for each kind of measurement. */
@@ -32,6 +33,8 @@
     commands.addCommand("cost", cost);
     SoakCommand soak = new SoakCommand();
     commands.addCommand("soak", soak);
+    ResponsesCommand responses = new ResponsesCommand();
+    commands.addCommand("responses", responses);
     commands.addCommand("archive", new ArchiveCommand());
     try {
       commands.parse(arguments);
@@ -40,7 +43,8 @@
       System.exit(EXIT_USAGE_ERROR);
       return;
     }
-    if (help.help || policy.help || cost.help || soak.help || commands.getParsedCommand() == null) {
+    boolean isHelp = help.help || policy.help || cost.help || soak.help || responses.help;
+    if (isHelp || commands.getParsedCommand() == null) {
       commands.usage();
       return;
     }
@@ -52,6 +56,10 @@
       new CostBench(cost.seconds, cost.json, System.out).run(cost.series);
       return;
     }
+    if (commands.getParsedCommand().equals("responses")) {
+      new ResponseBench(responses.seconds, System.out).run();
+      return;
+    }
     if (commands.getParsedCommand().equals("soak")) {
       boolean guaranteesKept =
           Soak.of(soak.seed, Duration.ofSeconds(soak.seconds)).run(System.out).isEmpty();
@@ -99,6 +107,15 @@
     private boolean help;
   }
 
+  @Parameters(commandDescription = "Measure the HTTP client that receives responses")
+  private static final class ResponsesCommand {
+    @Parameter(names = "--seconds", description = "Length of each measurement")
+    private int seconds = 10;
+
+    @Parameter(names = "--help", help = true, description = "Print this text")
+    private boolean help;
+  }
+
   @Parameters(commandDescription = "Measure what control and requests cost, with real processes")
   private static final class CostCommand {
     @Parameter(names = "--seconds", description = "Length of each measurement")
--- /dev/null
+++ b/bench/src/main/java/org/snipewick/bench/response/package-info.java
@@ -0,0 +1,2 @@
+/** Measures the HTTP client that receives the responses of endpoints. */
+package org.snipewick.bench.response;
