--- a/snipewick/src/test/java/org/snipewick/relay/SpoiltByteTest.java
+++ b/snipewick/src/test/java/org/snipewick/relay/SpoiltByteTest.java
@@ -55,7 +55,10 @@
     }
   }
 
-  /** The name of the coding stays a name of a field, as another field states no coding. */
+  /**
+   * Leaves out what turns the name of the coding into that of another field, as such a head is
+   * sound: the body ends with the connection.
+   */
   @Test
   void shouldDeliverWholeResponseOrNoneWhenByteOfHeadOfChunksIsSpoilt() throws IOException {
     int nameIndex = CHUNKED.indexOf(CODING_NAME);
