--- a/review/harness-2/SignalDuringStart.java
+++ b/review/harness-2/SignalDuringStart.java
@@ -19,6 +19,9 @@
   /** Ends within a second of the start of the machine by the platform do not count. */
   private static final long EXCUSED_MILLIS = 1000;
 
+  /** Exit code of a JVM that SIGHUP has ended; a process that ends with another one isn't counted. */
+  private static final int ENDED_BY_HANGUP = 129;
+
   private SignalDuringStart(Path recordFile) throws IOException {
     super(recordFile);
   }
@@ -71,7 +74,8 @@
       Thread.sleep(RESTART_MILLIS);
       if (!machine.process().isAlive()) {
         long sinceStart = (System.nanoTime() - firstNanos) / 1_000_000;
-        boolean counts = sinceStart > EXCUSED_MILLIS;
+        boolean counts =
+            sinceStart > EXCUSED_MILLIS && machine.process().exitValue() == ENDED_BY_HANGUP;
         ends += counts ? 1 : 0;
         note("process of " + machine.name + " has ended by itself with code "
             + machine.process().exitValue() + (counts ? "" : ", not counted"));
