--- a/review/harness-2/Case.java
+++ b/review/harness-2/Case.java
@@ -128,14 +128,16 @@
     note("run at " + id + ": " + requestId + " " + request.startLine + ", " + describe(request));
     byte[] body = ("done " + requestId).getBytes(StandardCharsets.US_ASCII);
     String fields = "Request-Id: " + requestId + "\r\nServer-Stamp: " + id + ".1\r\n";
-    if (request.target().startsWith("/stream/")) {
-      fields += "Content-Type: text/event-stream\r\n";
-      body = ("id: 1\ndata: done " + requestId + "\n\n").getBytes(StandardCharsets.US_ASCII);
-    }
-    Server.respond(output, 200, fields, body);
+    sendAnswer(id, output, fields, body);
     return true;
   }
 
+  /** Sends the answer of a replica that has run a request. */
+  void sendAnswer(String replica, OutputStream output, String fields, byte[] body)
+      throws IOException {
+    Server.respond(output, 200, fields, body);
+  }
+
   /** Describes what the case looks at in a request that was run. */
   String describe(Message request) {
     return request.body.length + " bytes";
--- a/review/harness-2/Machine.java
+++ b/review/harness-2/Machine.java
@@ -150,24 +150,6 @@
     STARTED.add(process);
   }
 
-  Process process() {
-    return process;
-  }
-
-  /** Changes a part of the settings file, as the platform does before SIGHUP. */
-  void changeSettings(String from, String to) throws IOException {
-    String text = Files.readString(settings);
-    if (!text.contains(from)) {
-      throw new IOException("settings do not contain: " + from);
-    }
-    Files.writeString(settings, text.replace(from, to));
-  }
-
-  /** Sends a signal to the process by its identifier. */
-  void signal(String signal) throws IOException, InterruptedException {
-    new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
-  }
-
   boolean isReady() {
     try (Socket socket = new Socket()) {
       socket.connect(new InetSocketAddress("127.0.0.1", ready), 500);
